--- /dev/null
+++ b/src/base/types.h
@@ -0,0 +1,104 @@
+#ifndef JACKDAW_BASE_TYPES_H
+#define JACKDAW_BASE_TYPES_H
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace base {
+
+/// A name or identifier of one kind. Different kinds do not convert into each
+/// other, so that, for example, a workspace can't be passed as a service.
+template <typename Tag> class StrongName {
+public:
+  StrongName() = default;
+  explicit StrongName(std::string Text) : Text(std::move(Text)) {}
+
+  const std::string &str() const { return Text; }
+  bool empty() const { return Text.empty(); }
+
+  friend auto operator<=>(const StrongName &, const StrongName &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Text); }
+
+private:
+  std::string Text;
+};
+
+/// A number of one kind, such as an offset or an incarnation.
+template <typename Tag> class StrongNumber {
+public:
+  constexpr StrongNumber() = default;
+  constexpr explicit StrongNumber(std::uint64_t Value) : Value(Value) {}
+
+  constexpr std::uint64_t value() const { return Value; }
+
+  friend constexpr auto operator<=>(const StrongNumber &,
+                                    const StrongNumber &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Value); }
+
+private:
+  std::uint64_t Value = 0;
+};
+
+/// Unique name of an instance, from its settings.
+using InstanceId = StrongName<struct InstanceTag>;
+using DataCentreId = StrongName<struct DataCentreTag>;
+using RegionId = StrongName<struct RegionTag>;
+using ServiceName = StrongName<struct ServiceTag>;
+using WorkspaceName = StrongName<struct WorkspaceTag>;
+
+/// Number of a daemon process on its instance. A later process on the same
+/// instance has a larger one (wall-clock microseconds at its start).
+using Incarnation = StrongNumber<struct IncarnationTag>;
+
+/// Position of a record in the platform log. The first record has offset 1;
+/// 0 stands for "before the first record".
+using LogOffset = StrongNumber<struct LogOffsetTag>;
+
+/// IP number and port at which a daemon's peers reach it, for TCP and UDP.
+struct PeerAddress {
+  std::string Ip;
+  std::uint16_t Port = 0;
+
+  friend auto operator<=>(const PeerAddress &, const PeerAddress &) = default;
+  std::string str() const { return Ip + ":" + std::to_string(Port); }
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Ip, Port); }
+};
+
+/// One daemon process: the same instance with another incarnation is another
+/// process.
+struct ProcessId {
+  InstanceId Instance;
+  Incarnation Epoch;
+
+  friend auto operator<=>(const ProcessId &, const ProcessId &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Instance, Epoch); }
+};
+
+/// Order in which requests are kept under overload: a request of a lower class
+/// is shed before any request of a higher one.
+enum class PriorityClass : std::uint8_t { Critical, Normal, Background };
+
+inline constexpr std::size_t kPriorityClassCount = 3;
+
+} // namespace base
+
+template <typename Tag> struct std::hash<base::StrongName<Tag>> {
+  std::size_t operator()(const base::StrongName<Tag> &Name) const noexcept {
+    return std::hash<std::string>()(Name.str());
+  }
+};
+
+template <typename Tag> struct std::hash<base::StrongNumber<Tag>> {
+  std::size_t operator()(base::StrongNumber<Tag> Number) const noexcept {
+    return std::hash<std::uint64_t>()(Number.value());
+  }
+};
+
+#endif // JACKDAW_BASE_TYPES_H
