--- /dev/null
+++ b/src/http/internal/server.cpp
@@ -0,0 +1,191 @@
+#include "http/server.h"
+
+#include <microhttpd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+namespace http {
+
+namespace {
+
+constexpr unsigned kIdleTimeoutSeconds = 120;
+constexpr std::size_t kThreadStackBytes = 256 << 10;
+
+class SocketConnection final : public CallerConnection {
+public:
+  explicit SocketConnection(int Socket) : Socket(Socket) {}
+
+  bool closed() const override {
+    pollfd Entry{Socket, POLLRDHUP, 0};
+    return poll(&Entry, 1, 0) > 0 &&
+           (Entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
+private:
+  const int Socket;
+};
+
+/// A request while its parts arrive.
+struct PendingRequest {
+  Request Received;
+  bool Started = false;
+  bool TooLarge = false;
+};
+
+MHD_Result queueResponse(MHD_Connection *Connection, const Response &Answer,
+                         bool Close) {
+  MHD_Response *Queued = MHD_create_response_from_buffer(
+      Answer.Body.size(), const_cast<char *>(Answer.Body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  for (const Header &Each : Answer.Headers)
+    if (!isHopByHopHeader(Each.Name))
+      MHD_add_response_header(Queued, Each.Name.c_str(), Each.Value.c_str());
+  if (Close)
+    MHD_add_response_header(Queued, MHD_HTTP_HEADER_CONNECTION, "close");
+  const MHD_Result Result =
+      MHD_queue_response(Connection, Answer.Status, Queued);
+  MHD_destroy_response(Queued);
+  return Result;
+}
+
+MHD_Result collectHeader(void *Target, MHD_ValueKind, const char *Name,
+                         const char *Value) {
+  auto &Headers = *static_cast<std::vector<Header> *>(Target);
+  Headers.push_back({Name, Value != nullptr ? Value : ""});
+  return MHD_YES;
+}
+
+void *onUri(void *, const char *Uri, MHD_Connection *) {
+  auto Pending = std::make_unique<PendingRequest>();
+  const std::string Text = Uri;
+  const std::size_t Question = Text.find('?');
+  Pending->Received.Path = Text.substr(0, Question);
+  if (Question != std::string::npos)
+    Pending->Received.Query = Text.substr(Question + 1);
+  return Pending.release();
+}
+
+void onCompleted(void *, MHD_Connection *, void **Context,
+                 MHD_RequestTerminationCode) {
+  delete static_cast<PendingRequest *>(*Context);
+  *Context = nullptr;
+}
+
+} // namespace
+
+struct Server::State {
+  ServerSettings Settings;
+  Handler *Answering = nullptr;
+  MHD_Daemon *Daemon = nullptr;
+  std::uint16_t Port = 0;
+
+  MHD_Result begin(MHD_Connection *Connection, PendingRequest &Pending,
+                   const char *Method) const {
+    Pending.Started = true;
+    Pending.Received.Method = Method;
+    MHD_get_connection_values(Connection, MHD_HEADER_KIND, collectHeader,
+                              &Pending.Received.Headers);
+    const auto Length = findHeader(Pending.Received.Headers, "content-length");
+    if (Length &&
+        std::strtoull(Length->c_str(), nullptr, 10) > Settings.MaxBodyBytes)
+      return queueResponse(Connection, Answering->bodyTooLarge(), true);
+    return MHD_YES;
+  }
+
+  MHD_Result finish(MHD_Connection *Connection, PendingRequest &Pending) const {
+    if (Pending.TooLarge)
+      return queueResponse(Connection, Answering->bodyTooLarge(), true);
+    const MHD_ConnectionInfo *Info =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const SocketConnection Caller(Info->connect_fd);
+    return queueResponse(Connection,
+                         Answering->handle(std::move(Pending.Received), Caller),
+                         false);
+  }
+
+  static MHD_Result onAccess(void *Self, MHD_Connection *Connection,
+                             const char *, const char *Method, const char *,
+                             const char *Data, std::size_t *Size,
+                             void **Context) {
+    const auto &Impl = *static_cast<State *>(Self);
+    auto &Pending = *static_cast<PendingRequest *>(*Context);
+    if (!Pending.Started)
+      return Impl.begin(Connection, Pending, Method);
+    if (*Size == 0)
+      return Impl.finish(Connection, Pending);
+    std::string &Body = Pending.Received.Body;
+    if (Body.size() + *Size > Impl.Settings.MaxBodyBytes)
+      Pending.TooLarge = true;
+    else
+      Body.append(Data, *Size);
+    *Size = 0;
+    return MHD_YES;
+  }
+};
+
+Server::Server(std::unique_ptr<State> Impl) : Impl(std::move(Impl)) {}
+
+base::Result<std::unique_ptr<Server>>
+Server::start(const ServerSettings &Settings, Handler &Answering) {
+  auto Impl = std::make_unique<State>();
+  Impl->Settings = Settings;
+  Impl->Answering = &Answering;
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Settings.Port);
+  if (inet_pton(AF_INET, Settings.Ip.c_str(), &Address.sin_addr) != 1)
+    return base::fail(base::ErrorKind::Internal,
+                      "not an IPv4 address: " + Settings.Ip);
+
+  const bool Tls = !Settings.TlsCertificate.empty();
+  unsigned Flags = MHD_USE_THREAD_PER_CONNECTION |
+                   MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
+  if (Tls)
+    Flags |= MHD_USE_TLS;
+  std::vector<MHD_OptionItem> TlsOptions;
+  if (Tls) {
+    TlsOptions.push_back(
+        {MHD_OPTION_HTTPS_MEM_CERT, 0,
+         const_cast<char *>(Impl->Settings.TlsCertificate.c_str())});
+    TlsOptions.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0,
+                          const_cast<char *>(Impl->Settings.TlsKey.c_str())});
+  }
+  TlsOptions.push_back({MHD_OPTION_END, 0, nullptr});
+  Impl->Daemon = MHD_start_daemon(
+      Flags, Settings.Port, nullptr, nullptr, &State::onAccess, Impl.get(),
+      MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&Address),
+      MHD_OPTION_CONNECTION_LIMIT, Settings.MaxConnections,
+      MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
+      MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes,
+      MHD_OPTION_URI_LOG_CALLBACK, &onUri, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
+      &onCompleted, nullptr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+      MHD_OPTION_ARRAY, TlsOptions.data(), MHD_OPTION_END);
+  if (Impl->Daemon == nullptr)
+    return base::fail(base::ErrorKind::Internal,
+                      "can't listen on " + Settings.Ip + ":" +
+                          std::to_string(Settings.Port));
+  Impl->Port =
+      MHD_get_daemon_info(Impl->Daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return std::unique_ptr<Server>(new Server(std::move(Impl)));
+}
+
+Server::~Server() {
+  stopAccepting();
+  MHD_stop_daemon(Impl->Daemon);
+}
+
+std::uint16_t Server::port() const { return Impl->Port; }
+
+void Server::stopAccepting() {
+  const int Socket = MHD_quiesce_daemon(Impl->Daemon);
+  if (Socket >= 0)
+    close(Socket);
+}
+
+} // namespace http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,71 @@
+#ifndef JACKDAW_HTTP_SERVER_H
+#define JACKDAW_HTTP_SERVER_H
+
+#include "base/errors.h"
+#include "http/message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace http {
+
+/// The connection that a request came on.
+class CallerConnection {
+public:
+  virtual ~CallerConnection() = default;
+
+  /// Whether the other end has closed the connection, so that nobody waits for
+  /// the response any more.
+  virtual bool closed() const = 0;
+};
+
+/// Answers requests. Called on one thread per connection, so it may block.
+class Handler {
+public:
+  virtual ~Handler() = default;
+
+  virtual Response handle(Request Received,
+                          const CallerConnection &Connection) = 0;
+
+  /// Response to a request whose body exceeds the limit.
+  virtual Response bodyTooLarge() const = 0;
+};
+
+struct ServerSettings {
+  /// IPv4 address to listen on.
+  std::string Ip = "127.0.0.1";
+  /// 0 lets the system choose a port.
+  std::uint16_t Port = 0;
+  std::size_t MaxBodyBytes = 1 << 20;
+  unsigned MaxConnections = 1000;
+  /// PEM texts; TLS is off if they are empty.
+  std::string TlsCertificate;
+  std::string TlsKey;
+};
+
+/// An HTTP/1.1 server over libmicrohttpd with a thread per connection.
+class Server {
+public:
+  /// Starts to listen; fails with `Internal` if the address can't be bound.
+  static base::Result<std::unique_ptr<Server>>
+  start(const ServerSettings &Settings, Handler &Answering);
+
+  /// Closes all connections and waits for the handlers to return.
+  ~Server();
+
+  std::uint16_t port() const;
+
+  /// Stops accepting connections; those that are open go on.
+  void stopAccepting();
+
+private:
+  struct State;
+  explicit Server(std::unique_ptr<State> Impl);
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace http
+
+#endif // JACKDAW_HTTP_SERVER_H
--- /dev/null
+++ b/src/http/tests/httptest.cpp
@@ -0,0 +1,104 @@
+#include "http/client.h"
+#include "http/server.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Echoes the request; the path `/slow` waits until the caller has gone.
+class EchoHandler final : public http::Handler {
+public:
+  http::Response handle(http::Request Received,
+                        const http::CallerConnection &Connection) override {
+    for (int Round = 0; Received.Path == "/slow" && Round < 500; ++Round) {
+      if (Connection.closed()) {
+        SawClose = true;
+        break;
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    http::Response Answer;
+    Answer.Headers = {{"X-Path", Received.Path}, {"X-Query", Received.Query}};
+    Answer.Body = Received.Method + " " + Received.Body;
+    return Answer;
+  }
+
+  http::Response bodyTooLarge() const override { return {413, {}, "large"}; }
+
+  std::atomic<bool> SawClose = false;
+};
+
+struct Fixture {
+  EchoHandler Handler;
+  std::unique_ptr<http::Server> Server;
+  http::Client Client;
+
+  Fixture() {
+    http::ServerSettings Settings;
+    Settings.MaxBodyBytes = 1000;
+    Server = http::Server::start(Settings, Handler).value();
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(Server->port());
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "path and query arrive as sent, still encoded") {
+  const auto Result =
+      Client.exchange(url(), {"PUT", "/a%2Fb/../c", "x=%20&y", {}, "body"}, {});
+  REQUIRE(Result.Status == http::ExchangeStatus::Completed);
+  CHECK(Result.Received.Body == "PUT body");
+  CHECK(http::findHeader(Result.Received.Headers, "x-path") == "/a%2Fb/../c");
+  CHECK(http::findHeader(Result.Received.Headers, "X-QUERY") == "x=%20&y");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a body over the limit is refused, and the server "
+                           "goes on serving") {
+  const http::Request Large{"POST", "/", "", {}, std::string(1001, 'x')};
+  const auto Refused = Client.exchange(url(), Large, {});
+  CHECK(Refused.Received.Status == 413);
+  const http::Request Fits{"POST", "/", "", {}, std::string(1000, 'x')};
+  CHECK(Client.exchange(url(), Fits, {}).Received.Status == 200);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a failed connection is told apart from a broken "
+                           "exchange, on which truthful refusals rest") {
+  const std::string Url = url();
+  Server.reset();
+  const auto Result = Client.exchange(Url, {"GET", "/", "", {}, ""}, {});
+  CHECK(Result.Status == http::ExchangeStatus::NotSent);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the handler sees that a cancelled caller has "
+                           "closed its connection") {
+  std::atomic<bool> Cancel = false;
+  std::thread Canceller([&Cancel] {
+    std::this_thread::sleep_for(50ms);
+    Cancel = true;
+  });
+  http::ExchangeOptions Options;
+  Options.Cancel = &Cancel;
+  Options.FreshConnection = true;
+  const auto Result =
+      Client.exchange(url(), {"GET", "/slow", "", {}, ""}, Options);
+  Canceller.join();
+  CHECK(Result.Status == http::ExchangeStatus::Cancelled);
+  for (int Round = 0; Round < 500 && !Handler.SawClose; ++Round)
+    std::this_thread::sleep_for(10ms);
+  CHECK(Handler.SawClose);
+}
+
+TEST_CASE("percent-decoding refuses malformed escapes and zero bytes") {
+  CHECK(http::percentDecode("a%2fb") == "a/b");
+  CHECK_FALSE(http::percentDecode("%"));
+  CHECK_FALSE(http::percentDecode("%2"));
+  CHECK_FALSE(http::percentDecode("%zz"));
+  CHECK_FALSE(http::percentDecode("%00"));
+}
