--- /dev/null
+++ b/src/transport/internal/sockets.h
@@ -0,0 +1,59 @@
+#ifndef JACKDAW_TRANSPORT_INTERNAL_SOCKETS_H
+#define JACKDAW_TRANSPORT_INTERNAL_SOCKETS_H
+
+#include "base/errors.h"
+#include "base/types.h"
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <utility>
+
+namespace transport {
+
+/// Owns a file descriptor and closes it.
+class FileDescriptor {
+public:
+  FileDescriptor() = default;
+  explicit FileDescriptor(int Value) : Value(Value) {}
+  FileDescriptor(FileDescriptor &&Other) noexcept
+      : Value(std::exchange(Other.Value, -1)) {}
+  FileDescriptor &operator=(FileDescriptor &&Other) noexcept {
+    std::swap(Value, Other.Value);
+    return *this;
+  }
+  ~FileDescriptor();
+
+  int value() const { return Value; }
+  bool valid() const { return Value >= 0; }
+
+private:
+  int Value = -1;
+};
+
+/// Socket address of an IPv4 address and port; nothing if `Peer.Ip` is not an
+/// IPv4 address.
+std::optional<sockaddr_in> toSocketAddress(const base::PeerAddress &Peer);
+
+base::PeerAddress fromSocketAddress(const sockaddr_in &Address);
+
+/// A TCP and a UDP socket on the same port, both non-blocking.
+struct ListeningSockets {
+  FileDescriptor Tcp;
+  FileDescriptor Udp;
+  base::PeerAddress Address;
+};
+
+/// Binds both sockets; fails with `Internal` if that is not possible.
+base::Result<ListeningSockets> listenOn(const base::PeerAddress &Wanted);
+
+/// Starts a non-blocking TCP connection; an invalid descriptor if that fails
+/// at once.
+FileDescriptor startConnection(const base::PeerAddress &Peer);
+
+/// Accepts one waiting connection, non-blocking; invalid if there is none.
+FileDescriptor acceptConnection(const FileDescriptor &Listening);
+
+} // namespace transport
+
+#endif // JACKDAW_TRANSPORT_INTERNAL_SOCKETS_H
--- /dev/null
+++ b/src/transport/types.h
@@ -0,0 +1,36 @@
+#ifndef JACKDAW_TRANSPORT_TYPES_H
+#define JACKDAW_TRANSPORT_TYPES_H
+
+#include "base/types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace transport {
+
+/// One connection to a peer. A number is never used again within a process.
+using ConnectionId = base::StrongNumber<struct ConnectionTag>;
+
+/// A message on a connection between two daemons. Types from 240 are reserved
+/// for the transport.
+struct Frame {
+  std::uint8_t Type = 0;
+  std::string Body;
+};
+
+/// First frame type that the transport reserves.
+inline constexpr std::uint8_t kFirstReservedType = 240;
+
+/// Largest frame from a peer that has not been authenticated yet, in bytes.
+inline constexpr std::size_t kMaxHandshakeFrameBytes = 256;
+
+/// Largest frame from an authenticated peer, in bytes.
+inline constexpr std::size_t kMaxFrameBytes = 32 << 20;
+
+/// Largest datagram body before sealing, in bytes.
+inline constexpr std::size_t kMaxDatagramBytes = 1200;
+
+} // namespace transport
+
+#endif // JACKDAW_TRANSPORT_TYPES_H
--- /dev/null
+++ b/tests/backend/backendstandin.cpp
@@ -0,0 +1,107 @@
+#include "backend/backendstandin.h"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace standins {
+
+/// Occupies one of the slots while it lives.
+class BackendStandin::SlotHolder {
+public:
+  explicit SlotHolder(BackendStandin &Owner) : Owner(Owner) {
+    std::unique_lock Lock(Owner.Mutex);
+    Owner.SlotFreed.wait(
+        Lock, [&Owner] { return Owner.Busy < Owner.Settings.Slots; });
+    ++Owner.Busy;
+  }
+  ~SlotHolder() {
+    std::lock_guard Lock(Owner.Mutex);
+    --Owner.Busy;
+    Owner.SlotFreed.notify_one();
+  }
+  SlotHolder(const SlotHolder &) = delete;
+
+private:
+  BackendStandin &Owner;
+};
+
+BackendStandin::BackendStandin(BackendSettings Initial)
+    : Settings(std::move(Initial)) {
+  http::ServerSettings Listening;
+  Listening.Port = Settings.Port;
+  Server = http::Server::start(Listening, *this).value();
+}
+
+BackendStandin::~BackendStandin() { Server.reset(); }
+
+bool BackendStandin::registerWithDaemon() const {
+  nlohmann::json Body{{"service", Settings.Service}, {"port", port()}};
+  http::Client Client;
+  const auto Result =
+      Client.exchange("http://127.0.0.1:" + std::to_string(Settings.DaemonPort),
+                      {"POST", "/-/register", "", {}, Body.dump()}, {});
+  return Result.Status == http::ExchangeStatus::Completed &&
+         Result.Received.Status == 200;
+}
+
+http::Response BackendStandin::handle(http::Request Received,
+                                      const http::CallerConnection &) {
+  if (Received.Path.starts_with("/-/"))
+    return control(Received);
+  const SlotHolder Slot(*this);
+  return work(Received);
+}
+
+http::Response BackendStandin::control(const http::Request &Received) {
+  std::lock_guard Lock(Mutex);
+  if (Received.Path == "/-/executions")
+    return {200, {}, nlohmann::json(Executions).dump()};
+  if (Received.Path == "/-/last")
+    return {200, {}, LastRequest};
+  if (Received.Path == "/-/control" && Received.Query.starts_with("work_us=")) {
+    Settings.WorkTime = std::chrono::microseconds(
+        std::strtoll(Received.Query.c_str() + 8, nullptr, 10));
+    return {200, {}, ""};
+  }
+  return {404, {}, ""};
+}
+
+http::Response BackendStandin::work(const http::Request &Received) {
+  std::chrono::microseconds WorkTime;
+  {
+    std::lock_guard Lock(Mutex);
+    if (const auto Order = http::findHeader(Received.Headers, "x-order"))
+      ++Executions[*Order];
+    LastRequest = "query " + Received.Query + "\n";
+    for (const http::Header &Each : Received.Headers)
+      LastRequest += Each.Name + ": " + Each.Value + "\n";
+    WorkTime = Settings.WorkTime;
+  }
+  std::this_thread::sleep_for(WorkTime);
+  if (!Settings.Calls.empty())
+    return callOthers(Received);
+  const std::string Echo = Settings.Service + " " + Received.Method + " " +
+                           Received.Path + " " + Received.Body + "\n";
+  return {200, {{"Content-Type", "text/plain"}}, Echo};
+}
+
+http::Response BackendStandin::callOthers(const http::Request &Received) {
+  std::string Joined = Settings.Service + " " + Received.Path + "\n";
+  for (const std::string &Target : Settings.Calls) {
+    http::Request Call{"GET", "/" + Target, "", {}, ""};
+    if (const auto Handle =
+            http::findHeader(Received.Headers, "jackdaw-handle"))
+      Call.Headers.push_back({"Jackdaw-Handle", *Handle});
+    http::Client Client;
+    const auto Result = Client.exchange(
+        "http://127.0.0.1:" + std::to_string(Settings.DaemonPort), Call, {});
+    if (Result.Status != http::ExchangeStatus::Completed ||
+        Result.Received.Status != 200)
+      return {502, {}, "call to " + Target + " failed\n"};
+    Joined += Result.Received.Body;
+  }
+  return {200, {{"Content-Type", "text/plain"}}, Joined};
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/backend/backendstandin.h
@@ -0,0 +1,66 @@
+#ifndef JACKDAW_TESTS_BACKEND_BACKENDSTANDIN_H
+#define JACKDAW_TESTS_BACKEND_BACKENDSTANDIN_H
+
+#include "base/types.h"
+#include "http/client.h"
+#include "http/server.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace standins {
+
+struct BackendSettings {
+  std::uint16_t Port = 0;
+  std::string Service;
+  unsigned Slots = 8;
+  std::chrono::microseconds WorkTime{0};
+  /// Caller port of the local daemon; 0 for none.
+  std::uint16_t DaemonPort = 0;
+  /// Calls that each request makes through the daemon, as "service/path".
+  std::vector<std::string> Calls;
+};
+
+/// A stand-in for a backend server. It works on as many requests at once as it
+/// has slots, counts executions per `X-Order` header, and echoes the request.
+/// Paths below `/-/` control it: `/-/control?work_us=N`, `/-/executions`
+/// (counts as JSON), `/-/last` (the last request's query and headers).
+class BackendStandin final : public http::Handler {
+public:
+  explicit BackendStandin(BackendSettings Settings);
+  ~BackendStandin() override;
+
+  std::uint16_t port() const { return Server->port(); }
+
+  /// Registers with the local daemon; false if it does not answer yet.
+  bool registerWithDaemon() const;
+
+  http::Response handle(http::Request Received,
+                        const http::CallerConnection &Connection) override;
+  http::Response bodyTooLarge() const override { return {413, {}, ""}; }
+
+private:
+  class SlotHolder;
+
+  http::Response control(const http::Request &Received);
+  http::Response work(const http::Request &Received);
+  http::Response callOthers(const http::Request &Received);
+
+  BackendSettings Settings;
+  std::mutex Mutex;
+  std::condition_variable SlotFreed;
+  unsigned Busy = 0;
+  std::map<std::string, std::uint64_t> Executions;
+  std::string LastRequest;
+  std::unique_ptr<http::Server> Server;
+};
+
+} // namespace standins
+
+#endif // JACKDAW_TESTS_BACKEND_BACKENDSTANDIN_H
