config: service files, the fleet file and lookups

Cause: daemons and the publisher need one parser and one immutable form of the configuration. Change: types, a settings table that drives checking and documentation, a parser that reports all faults of a file with their lines, and indexes for services, workspaces by key digest and routes.

--- /dev/null
+++ b/src/config/tests/servicefiletest.cpp
@@ -0,0 +1,132 @@
+#include "config/servicefile.h"
+#include "config/settings.h"
+#include "config/tests/examples.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace config;
+using namespace config::examples;
+
+namespace {
+
+/// Whether one of the errors is on `Line` and names `Part`.
+bool reports(const std::vector<FileError> &Errors, std::uint32_t Line,
+             const std::string &Part) {
+  return std::any_of(Errors.begin(), Errors.end(), [&](const FileError &Error) {
+    return Error.Line == Line && Error.Text.find(Part) != std::string::npos;
+  });
+}
+
+} // namespace
+
+TEST_CASE("a valid file is read with the defaults of the settings table") {
+  const auto Parsed = parseServiceFile("orders.toml", serviceText());
+  REQUIRE(Parsed.Value);
+  CHECK(Parsed.Value->Name.str() == "orders");
+  CHECK(Parsed.Value->Backend.Slots == 90);
+  CHECK(Parsed.Value->Backend.Queue.count() == 100);
+  CHECK(Parsed.Value->Backend.BodyLimitBytes == 1048576);
+  CHECK(Parsed.Value->Workspaces.front().Burst == 20.5);
+  CHECK(Parsed.Value->Workspaces.front().KeyDigests.front() ==
+        digestKey("key-of-acme"));
+  const RouteConfig &Route = Parsed.Value->Routes.front();
+  CHECK(Route.Priority == base::PriorityClass::Normal);
+  CHECK(Route.ResponseTimeout == Route.Deadline);
+  CHECK_FALSE(Route.OpenToAll);
+}
+
+TEST_CASE("all faults of a file are reported at once with their lines, so that "
+          "an operator needs no second round") {
+  const auto Parsed = parseServiceFile("orders.toml", R"([backend]
+slots = 0
+connections = "many"
+slot = 3
+
+[[workspace]]
+name = "a b"
+key_digests = ["ABC"]
+rate = -1
+isolated = "maybe"
+
+[[route]]
+prefix = "/x/../y"
+methods = ["get"]
+priority = "high"
+open_to_all = 1
+
+[colour]
+)");
+  CHECK_FALSE(Parsed.Value);
+  const auto &Errors = Parsed.Errors;
+  CHECK(reports(Errors, 2, "slots"));
+  CHECK(reports(Errors, 3, "connections"));
+  CHECK(reports(Errors, 4, "unknown setting \"slot\""));
+  CHECK(reports(Errors, 6, "\"burst\" is required"));
+  CHECK(reports(Errors, 7, "name"));
+  CHECK(reports(Errors, 8, "key_digests"));
+  CHECK(reports(Errors, 9, "rate"));
+  CHECK(reports(Errors, 10, "isolated"));
+  CHECK(reports(Errors, 13, "prefix"));
+  CHECK(reports(Errors, 14, "methods"));
+  CHECK(reports(Errors, 15, "priority"));
+  CHECK(reports(Errors, 16, "open_to_all"));
+  CHECK(reports(Errors, 18, "colour"));
+  CHECK(Errors.size() == 13);
+  CHECK(Errors.front().str().starts_with("orders.toml:2: \"slots\" must be"));
+}
+
+TEST_CASE("duplicate workspaces, digests and routes are errors, because a "
+          "lookup would silently prefer one of them") {
+  std::string Text = serviceText();
+  Text += "methods = [\"GET\"]\n[[route]]\nprefix = \"/\"\n"
+          "methods = [\"PUT\", \"GET\"]\n";
+  const std::string Workspace = serviceText();
+  const auto Start = Workspace.find("[[workspace]]");
+  Text += Workspace.substr(Start, Workspace.find("[[route]]") - Start);
+  const auto Errors = checkFile("orders.toml", Text);
+  CHECK(reports(Errors, 15, "route GET /"));
+  CHECK(reports(Errors, 18, "workspace acme"));
+  CHECK(reports(Errors, 19, "key digest"));
+  CHECK(Errors.size() == 3);
+}
+
+TEST_CASE("a file of the wrong name, size, syntax or depth is refused") {
+  CHECK(parseServiceFile("a/b.toml", serviceText()).Errors.size() == 1);
+  CHECK(parseServiceFile("-.toml", serviceText()).Errors.size() == 1);
+  CHECK(parseServiceFile("x.json", serviceText()).Errors.size() == 1);
+  CHECK_FALSE(checkFile("x.toml", std::string(kMaxFileBytes + 1, '#')).empty());
+  CHECK(reports(checkFile("x.toml", "\nslots = = 1"), 2, "syntax error"));
+  std::string Deep = "a";
+  for (int Index = 0; Index < 100000; ++Index)
+    Deep += ".a";
+  CHECK(reports(checkFile("x.toml", Deep + " = 1"), 1, "dots"));
+  CHECK(reports(checkFile("x.toml", ""), 0, "[backend] is required"));
+}
+
+TEST_CASE("the fleet file lists data centres once each") {
+  const auto Parsed = parseFleetFile("fleet.toml", fleetText());
+  REQUIRE(Parsed.Value);
+  CHECK(Parsed.Value->SlicesPerDataCentre == 2);
+  CHECK(Parsed.Value->RetryAllowance == 3);
+  CHECK(Parsed.Value->DataCentres.front().Region.str() == "north");
+  const std::string Twice =
+      fleetText() + "[[data_centre]]\nname = \"dc1\"\nregion = \"south\"\n";
+  CHECK(reports(checkFile("fleet.toml", Twice), 8, "data centre dc1"));
+  CHECK(reports(checkFile("fleet.toml", "[fleet]\n"), 0, "data_centre"));
+}
+
+TEST_CASE("every setting is documented and its default is valid") {
+  for (const Setting &Row : settingsTable()) {
+    CAPTURE(Row.Key);
+    CHECK_FALSE(Row.ErrorText.empty());
+    CHECK_FALSE(Row.Purpose.empty());
+    CHECK(settingsDocument().find(Row.Purpose) != std::string::npos);
+    if (Row.Type == SettingType::Integer && !Row.Default.empty()) {
+      const double Default = std::stod(std::string(Row.Default));
+      CHECK(Default >= Row.Min);
+      CHECK(Default <= Row.Max);
+    }
+  }
+}
