--- /dev/null
+++ b/src/config/tests/configstatetest.cpp
@@ -0,0 +1,144 @@
+#include "config/configstate.h"
+#include "config/tests/examples.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace config;
+using namespace config::examples;
+
+namespace {
+
+ConfigChange change(std::uint64_t Base, const std::string &Content,
+                    const std::string &Operator = "ann") {
+  ConfigChange Change;
+  Change.Id = base::makeRandomId<PublishId>();
+  Change.File = "orders.toml";
+  Change.BaseVersion = base::LogOffset(Base);
+  Change.Content = Content;
+  Change.Operator = Operator;
+  return Change;
+}
+
+base::LogOffset at(std::uint64_t Offset) { return base::LogOffset(Offset); }
+
+const base::ServiceName kOrders("orders");
+
+ConfigState copyThroughArchive(const ConfigState &State) {
+  std::stringstream Stream;
+  cereal::PortableBinaryOutputArchive Out(Stream);
+  Out(State);
+  ConfigState Copy;
+  cereal::PortableBinaryInputArchive In(Stream);
+  In(Copy);
+  return Copy;
+}
+
+} // namespace
+
+TEST_CASE("of two operators that start from the same version the first in the "
+          "log wins, and the other learns who it was") {
+  ConfigState State;
+  State.apply(at(3), change(0, serviceText()));
+  const auto First = change(3, serviceText("first"), "bob");
+  const auto Second = change(3, serviceText("second"), "eve");
+  CHECK(State.apply(at(5), First)->Kind == VerdictKind::Accepted);
+  const auto Lost = State.apply(at(6), Second);
+  CHECK(Lost->Kind == VerdictKind::RejectedVersion);
+  CHECK(Lost->CurrentVersion == at(5));
+  CHECK(Lost->CurrentOperator == "bob");
+  CHECK(State.version() == at(5));
+  CHECK(State.applied() == at(6));
+  CHECK(State.current()->service(kOrders)->workspaceByKey(digestKey("first")));
+  CHECK(State.verdictFor(Second.Id) == Lost);
+}
+
+TEST_CASE("records at or before the applied offset change nothing, so that a "
+          "replica never goes back") {
+  ConfigState State;
+  State.apply(at(4), change(0, serviceText()));
+  State.advanceTo(at(9));
+  State.advanceTo(at(2));
+  CHECK(State.applied() == at(9));
+  CHECK_FALSE(State.apply(at(9), change(4, serviceText("late"))));
+  CHECK(State.version() == at(4));
+  ConfigState Older;
+  Older.apply(at(8), change(0, serviceText("other")));
+  CHECK_FALSE(State.adopt(Older));
+  Older.advanceTo(at(10));
+  CHECK(State.adopt(Older));
+  CHECK(State.version() == at(8));
+}
+
+TEST_CASE("faulty content, names and bases are rejected and leave the "
+          "configuration in force") {
+  ConfigState State;
+  State.apply(at(1), change(0, serviceText()));
+  const auto Before = State.current();
+  CHECK(State.apply(at(2), change(1, "slots ="))->Kind ==
+        VerdictKind::RejectedContent);
+  CHECK(State.apply(at(3), change(7, serviceText()))->Kind ==
+        VerdictKind::RejectedVersion);
+  auto Odd = change(0, serviceText());
+  Odd.File = "../orders.toml";
+  CHECK(State.apply(at(4), Odd)->Kind == VerdictKind::RejectedContent);
+  CHECK(State.current() == Before);
+  CHECK(State.files().size() == 1);
+}
+
+TEST_CASE("a removed file keeps its version, so that a change made before the "
+          "removal can't bring the file back") {
+  ConfigState State;
+  State.apply(at(1), change(0, serviceText()));
+  auto Removal = change(1, "");
+  Removal.Removal = true;
+  CHECK(State.apply(at(2), Removal)->Kind == VerdictKind::Accepted);
+  CHECK_FALSE(State.current()->service(kOrders));
+  CHECK(State.apply(at(3), change(0, serviceText()))->Kind ==
+        VerdictKind::RejectedVersion);
+  CHECK(State.apply(at(4), change(1, serviceText()))->Kind ==
+        VerdictKind::RejectedVersion);
+  CHECK(State.apply(at(5), change(2, serviceText()))->Kind ==
+        VerdictKind::Accepted);
+}
+
+TEST_CASE("a change that is in the log twice keeps its first verdict") {
+  ConfigState State;
+  const auto Change = change(0, serviceText());
+  State.apply(at(1), Change);
+  CHECK(State.apply(at(2), Change)->Kind == VerdictKind::RejectedVersion);
+  CHECK(State.verdictFor(Change.Id)->Kind == VerdictKind::Accepted);
+  CHECK(State.version() == at(1));
+}
+
+TEST_CASE("only the latest verdicts are kept, so that memory stays bounded") {
+  ConfigState State;
+  const auto First = change(99, "");
+  const auto Second = change(99, "");
+  State.apply(at(1), First);
+  State.apply(at(2), Second);
+  for (std::uint64_t Offset = 3; Offset < kKeptVerdicts + 2; ++Offset)
+    State.apply(at(Offset), change(99, ""));
+  CHECK_FALSE(State.verdictFor(First.Id));
+  CHECK(State.verdictFor(Second.Id));
+}
+
+TEST_CASE("a state read from a snapshot reaches the same verdicts as its "
+          "original") {
+  ConfigState State;
+  const auto First = change(0, serviceText());
+  State.apply(at(1), First);
+  auto Fleet = change(0, fleetText());
+  Fleet.File = "fleet.toml";
+  State.apply(at(2), Fleet);
+  ConfigState Copy = copyThroughArchive(State);
+  CHECK(Copy.applied() == at(2));
+  CHECK(Copy.version() == at(2));
+  CHECK(Copy.verdictFor(First.Id) == State.verdictFor(First.Id));
+  CHECK(Copy.current()->fleet().SlicesPerDataCentre == 2);
+  const auto Next = change(1, serviceText("next"));
+  CHECK(Copy.apply(at(3), Next) == State.apply(at(3), Next));
+  CHECK(Copy.current()->service(kOrders)->workspaceByKey(digestKey("next")));
+}
