platformlog: log client over HTTP and the stand-in log

Cause: daemons and the publisher need the fleet stream, with typed errors that say whether an append may have happened. Change: LogClient and HttpLogClient over libcurl. Every call has a timeout, responses are bounded, and a failed call closes its connection. Appends never reuse a connection, because libcurl resends on a closed one. The stand-in log runs in process or as standin-log, with outage, delay, lost responses, silence and nonsense responses switched at run time.

--- /dev/null
+++ b/src/platformlog/errors.h
@@ -0,0 +1,39 @@
+#ifndef JACKDAW_PLATFORMLOG_ERRORS_H
+#define JACKDAW_PLATFORMLOG_ERRORS_H
+
+#include "base/errors.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace platformlog {
+
+enum class LogErrorKind : std::uint8_t {
+  /// The call had no effect.
+  Unavailable,
+  /// The record may or may not have been appended.
+  AppendOutcomeUnknown,
+  /// The log answered a read with something that is no valid response.
+  MalformedResponse,
+};
+
+/// A failed call to the platform log; the error object of all results here.
+struct LogError {
+  LogErrorKind Kind = LogErrorKind::Unavailable;
+  /// For logs and operators.
+  std::string Detail;
+};
+
+/// `unavailable`, `append outcome unknown` or `malformed response`.
+std::string_view logErrorName(LogErrorKind Kind);
+
+/// Makes a failed result that carries a `LogError`.
+inline boost::leaf::error_id fail(LogErrorKind Kind, std::string Detail) {
+  return boost::leaf::new_error(LogError{Kind, std::move(Detail)});
+}
+
+} // namespace platformlog
+
+#endif // JACKDAW_PLATFORMLOG_ERRORS_H
--- /dev/null
+++ b/src/platformlog/internal/errors.cpp
@@ -0,0 +1,17 @@
+#include "platformlog/errors.h"
+
+namespace platformlog {
+
+std::string_view logErrorName(LogErrorKind Kind) {
+  switch (Kind) {
+  case LogErrorKind::Unavailable:
+    return "unavailable";
+  case LogErrorKind::AppendOutcomeUnknown:
+    return "append outcome unknown";
+  case LogErrorKind::MalformedResponse:
+    return "malformed response";
+  }
+  return "unavailable";
+}
+
+} // namespace platformlog
--- /dev/null
+++ b/src/platformlog/internal/httplogclient.cpp
@@ -0,0 +1,117 @@
+#include "platformlog/httplogclient.h"
+
+#include "platformlog/internal/httpcall.h"
+#include "platformlog/internal/responses.h"
+
+#include <mutex>
+
+namespace platformlog {
+
+namespace {
+
+constexpr long kServiceUnavailable = 503;
+
+bool isSuccess(long Status) { return Status >= 200 && Status < 300; }
+
+/// Whether the status says that the log took no record.
+bool isRefusal(long Status) {
+  return (Status >= 400 && Status < 500) || Status == kServiceUnavailable;
+}
+
+std::string statusText(long Status) {
+  return "the log answered with status " + std::to_string(Status);
+}
+
+} // namespace
+
+struct HttpLogClient::State {
+  HttpLogSettings Settings;
+  std::string RecordsUrl;
+  std::mutex AppendMutex;
+  HttpConnection AppendConnection{false};
+  std::mutex ReadMutex;
+  HttpConnection ReadConnection{true};
+
+  base::Result<ReadResult> readOnce(base::LogOffset From, std::size_t Limit,
+                                    std::chrono::milliseconds Wait,
+                                    bool &TooLarge);
+};
+
+HttpLogClient::HttpLogClient(HttpLogSettings Settings)
+    : Impl(std::make_unique<State>()) {
+  Impl->Settings = std::move(Settings);
+  std::string Url = Impl->Settings.Url;
+  while (Url.ends_with('/'))
+    Url.pop_back();
+  Impl->RecordsUrl = Url + "/streams/" + Impl->Settings.Stream + "/records";
+}
+
+HttpLogClient::~HttpLogClient() = default;
+
+base::Result<base::LogOffset> HttpLogClient::append(const std::string &Bytes) {
+  if (Bytes.size() > kMaxRecordBytes)
+    return fail(LogErrorKind::Unavailable, "the record is too large to append");
+  const std::lock_guard Lock(Impl->AppendMutex);
+  HttpCall Call;
+  Call.Url = Impl->RecordsUrl;
+  Call.Body = &Bytes;
+  Call.Timeout = Impl->Settings.CallTimeout;
+  Call.ConnectTimeout = Impl->Settings.ConnectTimeout;
+  Call.MaxResponseBytes = Impl->Settings.MaxResponseBytes;
+  const HttpReply Reply = Impl->AppendConnection.run(Call);
+  Impl->AppendConnection.drop();
+  if (!Reply.Complete)
+    return fail(Reply.Sent ? LogErrorKind::AppendOutcomeUnknown
+                           : LogErrorKind::Unavailable,
+                Reply.Detail);
+  if (isRefusal(Reply.Status))
+    return fail(LogErrorKind::Unavailable, statusText(Reply.Status));
+  if (!isSuccess(Reply.Status))
+    return fail(LogErrorKind::AppendOutcomeUnknown, statusText(Reply.Status));
+  if (const auto Offset = parseAppendResponse(Reply.Body))
+    return *Offset;
+  return fail(LogErrorKind::AppendOutcomeUnknown,
+              "the response to the append holds no offset");
+}
+
+base::Result<ReadResult>
+HttpLogClient::State::readOnce(base::LogOffset From, std::size_t Limit,
+                               std::chrono::milliseconds Wait, bool &TooLarge) {
+  HttpCall Call;
+  Call.Url = RecordsUrl + "?from=" + std::to_string(From.value()) +
+             "&limit=" + std::to_string(Limit) +
+             "&wait_ms=" + std::to_string(Wait.count());
+  Call.Timeout = Settings.CallTimeout + Wait;
+  Call.ConnectTimeout = Settings.ConnectTimeout;
+  Call.MaxResponseBytes = Settings.MaxResponseBytes;
+  const HttpReply Reply = ReadConnection.run(Call);
+  TooLarge = Reply.TooLarge;
+  if (Reply.Complete && isSuccess(Reply.Status)) {
+    std::string Reason;
+    auto Page = parseReadResponse(Reply.Body, From, Limit, Reason);
+    if (Page)
+      return std::move(*Page);
+    ReadConnection.drop();
+    return fail(LogErrorKind::MalformedResponse, Reason);
+  }
+  ReadConnection.drop();
+  if (Reply.TooLarge)
+    return fail(LogErrorKind::MalformedResponse, Reply.Detail);
+  return fail(LogErrorKind::Unavailable,
+              Reply.Complete ? statusText(Reply.Status) : Reply.Detail);
+}
+
+base::Result<ReadResult> HttpLogClient::read(base::LogOffset From,
+                                             std::size_t MaxRecords,
+                                             std::chrono::milliseconds Wait) {
+  const std::lock_guard Lock(Impl->ReadMutex);
+  bool TooLarge = false;
+  auto Page = Impl->readOnce(From, MaxRecords, Wait, TooLarge);
+  while (!Page && TooLarge && MaxRecords > 1) {
+    MaxRecords /= 2;
+    Page = Impl->readOnce(From, MaxRecords, Wait, TooLarge);
+  }
+  return Page;
+}
+
+} // namespace platformlog
--- /dev/null
+++ b/src/platformlog/internal/responses.cpp
@@ -0,0 +1,135 @@
+#include "platformlog/internal/responses.h"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+namespace platformlog {
+
+namespace {
+
+using nlohmann::json;
+
+// Start and end of an object, two keys and two values.
+constexpr std::size_t kValuesPerRecord = 6;
+// Everything around the records, with room for fields that are ignored.
+constexpr std::size_t kValuesAround = 50;
+
+/// Thrown out of the parser when a text holds too many values.
+struct TooManyValues {};
+
+/// Parses a text of at most `MaxValues` keys, values, objects and arrays; null
+/// for any other. The limit keeps the tree, whose nodes take many times the
+/// bytes of a short text, in proportion to what a valid response holds.
+json parseBounded(const std::string &Body, std::size_t MaxValues) {
+  std::size_t Values = 0;
+  try {
+    return json::parse(
+        Body,
+        [&](int, json::parse_event_t, json &) {
+          if (++Values > MaxValues)
+            throw TooManyValues();
+          return true;
+        },
+        false);
+  } catch (const TooManyValues &) {
+    return nullptr;
+  }
+}
+
+std::optional<base::LogOffset> offsetIn(const json &Object, const char *Key) {
+  const auto Found = Object.find(Key);
+  if (Found == Object.end() || !Found->is_number_unsigned())
+    return std::nullopt;
+  return base::LogOffset(Found->get<std::uint64_t>());
+}
+
+std::optional<std::string> bytesIn(const json &Object) {
+  const auto Found = Object.find("data");
+  if (Found == Object.end() || !Found->is_string())
+    return std::nullopt;
+  const auto &Text = Found->get_ref<const std::string &>();
+  std::string Bytes(Text.size() / 4 * 3 + 3, '\0');
+  std::size_t Length = 0;
+  if (sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
+                        Bytes.size(), Text.data(), Text.size(), nullptr,
+                        &Length, nullptr, sodium_base64_VARIANT_ORIGINAL) != 0)
+    return std::nullopt;
+  Bytes.resize(Length);
+  return Bytes;
+}
+
+std::optional<LogRecord> recordIn(const json &Item, std::string &Reason) {
+  if (!Item.is_object()) {
+    Reason = "a record is not an object";
+    return std::nullopt;
+  }
+  const auto Offset = offsetIn(Item, "offset");
+  auto Bytes = bytesIn(Item);
+  if (!Offset || !Bytes) {
+    Reason = "a record lacks a valid offset or data";
+    return std::nullopt;
+  }
+  return LogRecord{*Offset, std::move(*Bytes)};
+}
+
+bool readRecords(const json &Items, base::LogOffset From, ReadResult &Page,
+                 std::string &Reason) {
+  std::uint64_t Least = std::max(From.value(), Page.First.value());
+  for (const json &Item : Items) {
+    auto Record = recordIn(Item, Reason);
+    if (!Record)
+      return false;
+    if (Record->Offset.value() != Least || Record->Offset > Page.End) {
+      Reason = "record offsets are out of order or out of range";
+      return false;
+    }
+    ++Least;
+    Page.Records.push_back(std::move(*Record));
+  }
+  return true;
+}
+
+} // namespace
+
+std::optional<base::LogOffset> parseAppendResponse(const std::string &Body) {
+  const json Root = parseBounded(Body, kValuesAround);
+  if (!Root.is_object())
+    return std::nullopt;
+  const auto Offset = offsetIn(Root, "offset");
+  if (!Offset || Offset->value() == 0)
+    return std::nullopt;
+  return Offset;
+}
+
+std::optional<ReadResult> parseReadResponse(const std::string &Body,
+                                            base::LogOffset From,
+                                            std::size_t MaxRecords,
+                                            std::string &Reason) {
+  const json Root =
+      parseBounded(Body, MaxRecords * kValuesPerRecord + kValuesAround);
+  if (!Root.is_object()) {
+    Reason = "the body is not a JSON object";
+    return std::nullopt;
+  }
+  const auto First = offsetIn(Root, "first");
+  const auto End = offsetIn(Root, "end");
+  const auto Items = Root.find("records");
+  if (!First || !End || Items == Root.end() || !Items->is_array()) {
+    Reason = "first, end or records are missing";
+    return std::nullopt;
+  }
+  ReadResult Page{{}, *First, *End};
+  if (First->value() == 0 || First->value() > End->value() + 1) {
+    Reason = "the first offset lies after the end";
+    return std::nullopt;
+  }
+  if (Items->size() > MaxRecords) {
+    Reason = "there are more records than asked for";
+    return std::nullopt;
+  }
+  if (!readRecords(*Items, From, Page, Reason))
+    return std::nullopt;
+  return Page;
+}
+
+} // namespace platformlog
--- /dev/null
+++ b/src/platformlog/tests/httplogclienttest.cpp
@@ -0,0 +1,169 @@
+#include "platformlog/httplogclient.h"
+#include "platformlog/internal/responses.h"
+#include "standins/standinlog.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <thread>
+
+using namespace platformlog;
+using namespace std::chrono_literals;
+using standins::StandInLog;
+
+namespace {
+
+HttpLogSettings settingsFor(const std::string &Url) {
+  HttpLogSettings Settings;
+  Settings.Url = Url;
+  Settings.CallTimeout = 300ms;
+  Settings.ConnectTimeout = 200ms;
+  return Settings;
+}
+
+/// The error of a failing call, or nothing if it succeeded.
+template <typename Call> std::optional<LogErrorKind> errorOf(Call &&Run) {
+  return boost::leaf::try_handle_all(
+      [&]() -> base::Result<std::optional<LogErrorKind>> {
+        BOOST_LEAF_CHECK(Run());
+        return std::optional<LogErrorKind>();
+      },
+      [](const LogError &Error) { return std::optional(Error.Kind); },
+      [] { return std::optional<LogErrorKind>(); });
+}
+
+base::LogOffset at(std::uint64_t Offset) { return base::LogOffset(Offset); }
+
+} // namespace
+
+TEST_CASE("records come back unchanged, in order and in pages") {
+  StandInLog Log;
+  HttpLogClient Client(settingsFor(Log.url()));
+  const std::string Binary("\0\xff\n\"", 4);
+  CHECK(Client.append(Binary).value() == at(1));
+  CHECK(Client.append("").value() == at(2));
+  CHECK(Client.append("three").value() == at(3));
+  const auto Page = Client.read(at(1), 2, 0ms).value();
+  REQUIRE(Page.Records.size() == 2);
+  CHECK(Page.Records[0].Bytes == Binary);
+  CHECK(Page.Records[1].Bytes.empty());
+  CHECK(Page.First == at(1));
+  CHECK(Page.End == at(3));
+  CHECK(Client.read(at(4), 2, 0ms).value().Records.empty());
+}
+
+TEST_CASE("a long poll returns as soon as a record is appended, also while "
+          "another call of the same client is waiting") {
+  StandInLog Log;
+  HttpLogClient Client(settingsFor(Log.url()));
+  std::optional<ReadResult> Page;
+  std::thread Reader([&] { Page = Client.read(at(1), 10, 20s).value(); });
+  CHECK(Client.append("news").value() == at(1));
+  Reader.join();
+  REQUIRE(Page->Records.size() == 1);
+  CHECK(Page->Records[0].Bytes == "news");
+}
+
+TEST_CASE("a read before the retained offsets shows the gap") {
+  StandInLog Log(0, 2);
+  for (int Index = 0; Index < 5; ++Index)
+    Log.append("x");
+  HttpLogClient Client(settingsFor(Log.url()));
+  const auto Page = Client.read(at(1), 10, 0ms).value();
+  CHECK(Page.First == at(4));
+  REQUIRE(Page.Records.size() == 2);
+  CHECK(Page.Records[0].Offset == at(4));
+}
+
+TEST_CASE("an append says whether it may have happened, so that nobody "
+          "repeats one that did") {
+  StandInLog Log;
+  HttpLogClient Client(settingsFor(Log.url()));
+  const auto Append = [&] { return Client.append("x"); };
+  Log.setFaults({.Outage = true});
+  CHECK(errorOf(Append) == LogErrorKind::Unavailable);
+  CHECK(Log.end() == 0);
+  Log.setFaults({.LoseResponses = true});
+  CHECK(errorOf(Append) == LogErrorKind::AppendOutcomeUnknown);
+  CHECK(Log.end() == 1);
+  Log.setFaults({.Nonsense = true});
+  CHECK(errorOf(Append) == LogErrorKind::AppendOutcomeUnknown);
+  CHECK(Log.end() == 2);
+  Log.setFaults({.Delay = 2s});
+  CHECK(errorOf(Append) == LogErrorKind::AppendOutcomeUnknown);
+  Log.setFaults({.Silent = true});
+  CHECK(errorOf(Append) == LogErrorKind::AppendOutcomeUnknown);
+  HttpLogClient Nowhere(settingsFor("http://127.0.0.1:1"));
+  CHECK(errorOf([&] { return Nowhere.append("x"); }) ==
+        LogErrorKind::Unavailable);
+}
+
+TEST_CASE("a failed read says why, and the next one works") {
+  StandInLog Log;
+  Log.append("x");
+  HttpLogClient Client(settingsFor(Log.url()));
+  const auto Read = [&] { return Client.read(at(1), 1, 0ms); };
+  Log.setFaults({.Outage = true});
+  CHECK(errorOf(Read) == LogErrorKind::Unavailable);
+  Log.setFaults({.Nonsense = true});
+  CHECK(errorOf(Read) == LogErrorKind::MalformedResponse);
+  Log.setFaults({});
+  CHECK_FALSE(errorOf(Read));
+}
+
+TEST_CASE("a connection that has gone silent is given up after the timeout and "
+          "replaced by a fresh one") {
+  StandInLog Log;
+  Log.append("x");
+  HttpLogClient Client(settingsFor(Log.url()));
+  const auto Read = [&] { return Client.read(at(1), 1, 0ms); };
+  CHECK_FALSE(errorOf(Read));
+  Log.silenceOpenConnections();
+  CHECK(errorOf(Read) == LogErrorKind::Unavailable);
+  CHECK_FALSE(errorOf(Read));
+}
+
+TEST_CASE("a response over the limit is cut off, and smaller pages still get "
+          "through") {
+  StandInLog Log;
+  for (int Index = 0; Index < 8; ++Index)
+    Log.append(std::string(600, 'x'));
+  auto Settings = settingsFor(Log.url());
+  Settings.MaxResponseBytes = 2000;
+  HttpLogClient Client(Settings);
+  CHECK(Client.read(at(1), 8, 0ms).value().Records.size() == 2);
+  Settings.MaxResponseBytes = 500;
+  HttpLogClient Small(Settings);
+  CHECK(errorOf([&] { return Small.read(at(1), 8, 0ms); }) ==
+        LogErrorKind::MalformedResponse);
+}
+
+TEST_CASE("responses that contradict themselves are refused") {
+  std::string Reason;
+  const auto Parse = [&](const std::string &Body) {
+    return parseReadResponse(Body, at(2), 3, Reason).has_value();
+  };
+  CHECK(Parse(R"({"first":1,"end":2,"records":[{"offset":2,"data":"eA=="}]})"));
+  for (const char *Body :
+       {"", "[]", "{}", R"({"first":1,"end":2})",
+        R"({"first":0,"end":2,"records":[]})",
+        R"({"first":4,"end":2,"records":[]})",
+        R"({"first":-1,"end":2,"records":[]})",
+        R"({"first":1,"end":2,"records":[{"offset":1,"data":""}]})",
+        R"({"first":1,"end":2,"records":[{"offset":3,"data":""}]})",
+        R"({"first":1,"end":9,"records":[{"offset":4,"data":""}]})",
+        R"({"first":1,"end":2,"records":[{"offset":2,"data":"?"}]})",
+        R"({"first":1,"end":2,"records":[{"offset":2}]})",
+        R"({"first":1,"end":2,"records":[7]})"}) {
+    CAPTURE(Body);
+    CHECK_FALSE(Parse(Body));
+  }
+  std::string Many = "[0";
+  for (int Index = 0; Index < 100000; ++Index)
+    Many += ",0";
+  CHECK_FALSE(Parse(R"({"first":1,"end":2,"records":)" + Many + "]}"));
+  CHECK_FALSE(parseAppendResponse(std::string(100000, '[')));
+  CHECK_FALSE(parseAppendResponse(R"({"offset":0})"));
+  CHECK_FALSE(parseAppendResponse(R"({"offset":"1"})"));
+  CHECK(parseAppendResponse(R"({"offset":7})") == at(7));
+}
