Add the execution and retry modules

Calls between daemons need at-most-once records, fences, idempotency records and bounded retries before the daemon can pass a request on.

execution holds ExecutionTable (serving daemon), CallTracker (entry daemon), IdempotencyTable (shard owner), HandleTable and the messages between them. retry holds RetryAllowance, RetryBudget and RetryPolicy. Neither does I/O.

--- /dev/null
+++ b/src/execution/internal/handletable.cpp
@@ -0,0 +1,48 @@
+#include "execution/handletable.h"
+
+#include "execution/executiontable.h"
+
+namespace execution {
+
+base::Handle HandleTable::open(RequestContext Context) {
+  const auto Value = base::makeRandomId<base::Handle>();
+  Requests.emplace(Value, std::move(Context));
+  return Value;
+}
+
+base::Result<RequestContext *> HandleTable::find(const base::Handle &Value) {
+  const auto Found = Requests.find(Value);
+  if (Found == Requests.end())
+    return base::fail(base::ErrorKind::HandleUnknown,
+                      "handle belongs to no request in flight");
+  return &Found->second;
+}
+
+std::uint32_t HandleTable::close(const base::Handle &Value) {
+  const auto Found = Requests.find(Value);
+  if (Found == Requests.end())
+    return 0;
+  const std::uint32_t Unused = Found->second.Allowance.close();
+  Requests.erase(Found);
+  return Unused;
+}
+
+RequestContext contextOf(const CallContext &Call, base::BootTime Now) {
+  RequestContext Context;
+  Context.Scope = Call.Scope;
+  Context.Service = Call.Service;
+  Context.Deadline = deadlineOf(Call, Now);
+  Context.Depth = Call.Depth;
+  Context.Allowance = retry::RetryAllowance(Call.RetryAllowance);
+  return Context;
+}
+
+base::Result<base::Handle> parseHandle(std::string_view Text) {
+  const auto Bytes = base::fromHex(Text);
+  if (!Bytes)
+    return base::fail(base::ErrorKind::HandleUnknown,
+                      "handle is not a 128-bit number");
+  return base::Handle{*Bytes};
+}
+
+} // namespace execution
--- /dev/null
+++ b/src/execution/internal/types.cpp
@@ -0,0 +1,20 @@
+#include "execution/types.h"
+
+namespace execution {
+
+std::size_t Response::size() const {
+  std::size_t Bytes = sizeof(Response) + Body.capacity();
+  for (const Header &Each : Headers)
+    Bytes += sizeof(Header) + Each.Name.size() + Each.Value.size();
+  return Bytes;
+}
+
+Response errorResponse(base::ErrorKind Kind, base::Outcome What) {
+  Response Answer;
+  Answer.What = What;
+  Answer.Error = Kind;
+  Answer.Status = base::answerFor(Kind).Status;
+  return Answer;
+}
+
+} // namespace execution
--- /dev/null
+++ b/src/retry/retrybudgettable.h
@@ -0,0 +1,47 @@
+#ifndef JACKDAW_RETRY_RETRYBUDGETTABLE_H
+#define JACKDAW_RETRY_RETRYBUDGETTABLE_H
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "retry/retrybudget.h"
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace retry {
+
+/// The budgets of one daemon by service and workspace. A budget that has been
+/// idle for a whole window is dropped, which changes no decision.
+class RetryBudgetTable {
+public:
+  explicit RetryBudgetTable(const base::Clock &Time) : Time(Time) {}
+
+  /// The budget of the pair, new if there is none. The reference is valid
+  /// until the next `tick`.
+  RetryBudget &budget(const base::ServiceName &Service,
+                      const base::WorkspaceName &Workspace);
+
+  /// Drops idle budgets. Meant to run about once a minute.
+  void tick();
+
+  std::size_t size() const { return Budgets.size(); }
+
+private:
+  struct Key {
+    base::ServiceName Service;
+    base::WorkspaceName Workspace;
+
+    friend bool operator==(const Key &, const Key &) = default;
+  };
+
+  struct KeyHash {
+    std::size_t operator()(const Key &Value) const noexcept;
+  };
+
+  const base::Clock &Time;
+  std::unordered_map<Key, RetryBudget, KeyHash> Budgets;
+};
+
+} // namespace retry
+
+#endif // JACKDAW_RETRY_RETRYBUDGETTABLE_H
--- /dev/null
+++ b/src/retry/tests/retryallowancetest.cpp
@@ -0,0 +1,91 @@
+#include "retry/retryallowance.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace retry;
+
+namespace {
+
+/// Runs a random tree of calls in which every hop fails, retries and loses
+/// answers at random.
+class CallTree {
+public:
+  explicit CallTree(std::uint64_t Seed) : Engine(Seed) {}
+
+  std::uint64_t Calls = 0;
+  std::uint64_t Attempts = 0;
+
+  /// Makes one call with all its retries under `Parent`.
+  void call(RetryAllowance &Parent, int Depth) {
+    ++Calls;
+    do {
+      attempt(Parent, Depth);
+    } while (chance(70) && Parent.use());
+  }
+
+private:
+  bool chance(std::uint64_t Percent) { return Engine() % 100 < Percent; }
+
+  void attempt(RetryAllowance &Parent, int Depth) {
+    ++Attempts;
+    AllowanceGrant Grant = Parent.give();
+    RetryAllowance Own(Grant.units());
+    // A retry below runs a whole new subtree, whose calls count as calls; the
+    // bound concerns what retries add.
+    const std::uint64_t FanOut = Calls < 3000 ? 1 + Engine() % 3 : 1;
+    for (std::uint64_t Child = 0; Depth < 19 && Child < FanOut; ++Child)
+      call(Own, Depth + 1);
+    const std::uint32_t Unused = Own.close();
+    const bool AnswerLost = chance(10);
+    if (AnswerLost)
+      return;
+    Parent.giveBack(std::move(Grant), Unused);
+  }
+
+  std::mt19937_64 Engine;
+};
+
+} // namespace
+
+TEST_CASE("however deep and wide a request is, its attempts exceed its calls "
+          "by at most the root's allowance") {
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    CAPTURE(Seed);
+    CallTree Tree(Seed);
+    RetryAllowance Root(kRootAllowance);
+    Tree.call(Root, 1);
+    REQUIRE(Tree.Attempts <= Tree.Calls + kRootAllowance);
+    REQUIRE(Tree.Attempts + Root.left() <= Tree.Calls + kRootAllowance);
+  }
+}
+
+TEST_CASE("half of what is left, rounded up, goes to a child and unused units "
+          "come back") {
+  RetryAllowance Allowance(3);
+  AllowanceGrant First = Allowance.give();
+  CHECK(First.units() == 2);
+  CHECK(Allowance.left() == 1);
+  AllowanceGrant Second = Allowance.give();
+  CHECK(Second.units() == 1);
+  CHECK(Allowance.left() == 0);
+  CHECK_FALSE(Allowance.use());
+  Allowance.giveBack(std::move(First), 2);
+  CHECK(Allowance.left() == 2);
+}
+
+TEST_CASE("a repeated or late response can't return units twice or after the "
+          "end") {
+  RetryAllowance Allowance(4);
+  AllowanceGrant Grant = Allowance.give();
+  AllowanceGrant Late = Allowance.give();
+  Allowance.giveBack(std::move(Grant), 9);
+  CHECK(Allowance.left() == 3);
+  Allowance.giveBack(std::move(Grant), 2); // NOLINT(bugprone-use-after-move)
+  CHECK(Allowance.left() == 3);
+  CHECK(Allowance.close() == 3);
+  Allowance.giveBack(std::move(Late), 1);
+  CHECK(Allowance.left() == 0);
+  CHECK(Allowance.give().units() == 0);
+}
--- /dev/null
+++ b/src/retry/tests/retrypolicytest.cpp
@@ -0,0 +1,97 @@
+#include "retry/retrypolicy.h"
+
+#include <doctest/doctest.h>
+
+using namespace retry;
+using namespace std::chrono_literals;
+using base::ErrorKind;
+using base::Outcome;
+
+namespace {
+
+struct Fixture {
+  base::ManualClock Clock;
+  RetryPolicy Policy{Clock, 1};
+  RetryAllowance Allowance{3};
+  RetryBudget Budget;
+
+  RetryReason decide(ErrorKind Kind, Outcome What, bool Idempotent,
+                     base::Duration TimeLeft = 10s) {
+    FailedAttempt Attempt{Kind, What, Idempotent, 0, Clock.now() + TimeLeft};
+    return Policy.decide(Attempt, Allowance, Budget).Reason;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a call that may have run and must not be repeated is not retried") {
+  Fixture Test;
+  CHECK(Test.decide(ErrorKind::OutcomeUnknown, Outcome::Unknown, false) ==
+        RetryReason::MayHaveRun);
+  CHECK(Test.decide(ErrorKind::Internal, Outcome::Ran, true) ==
+        RetryReason::MayHaveRun);
+  CHECK(Test.decide(ErrorKind::OutcomeUnknown, Outcome::Unknown, true) ==
+        RetryReason::Retry);
+  CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, false) ==
+        RetryReason::Retry);
+  CHECK(Test.Allowance.left() == 1);
+}
+
+TEST_CASE("refusals for rate or load are not amplified by retries") {
+  Fixture Test;
+  for (const ErrorKind Kind :
+       {ErrorKind::RateExceeded, ErrorKind::LimitUnavailable,
+        ErrorKind::Overloaded, ErrorKind::DeadlineExceeded,
+        ErrorKind::Cancelled, ErrorKind::KeyUnknown})
+    CHECK(Test.decide(Kind, Outcome::NotRun, true) ==
+          RetryReason::KindNotRetried);
+  CHECK(Test.Allowance.left() == 3);
+}
+
+TEST_CASE("a used-up allowance or budget ends retries, and neither is charged "
+          "for a retry that the other refuses") {
+  Fixture Test;
+  Test.Allowance = RetryAllowance(0);
+  CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, true) ==
+        RetryReason::AllowanceUsedUp);
+  Test.Allowance = RetryAllowance(20);
+  for (std::uint64_t Index = 0; Index < kBudgetFloor; ++Index)
+    CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, true) ==
+          RetryReason::Retry);
+  CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, true) ==
+        RetryReason::BudgetUsedUp);
+  CHECK(Test.Allowance.left() == 10);
+}
+
+TEST_CASE("a retry that can't start before the deadline is not made") {
+  Fixture Test;
+  CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, true, 4ms) ==
+        RetryReason::DeadlineTooClose);
+  CHECK(Test.decide(ErrorKind::Draining, Outcome::NotRun, true, -1s) ==
+        RetryReason::DeadlineTooClose);
+}
+
+TEST_CASE("delays use the whole range up to a doubling bound, so that clients "
+          "don't retry in step") {
+  Fixture Test;
+  for (std::uint32_t Earlier = 0; Earlier < 40; ++Earlier) {
+    base::Duration Shortest = 1h;
+    base::Duration Longest = 0s;
+    for (int Round = 0; Round < 200; ++Round) {
+      RetryAllowance Allowance(1);
+      RetryBudget Budget;
+      const RetryDecision Decision =
+          Test.Policy.decide({ErrorKind::Draining, Outcome::NotRun, true,
+                              Earlier, Test.Clock.now() + 1h},
+                             Allowance, Budget);
+      REQUIRE(Decision.retries());
+      Shortest = std::min(Shortest, Decision.Delay);
+      Longest = std::max(Longest, Decision.Delay);
+    }
+    const base::Duration Bound =
+        Earlier < 6 ? std::min<base::Duration>(1s, 25ms * (1 << Earlier)) : 1s;
+    CHECK(Longest <= Bound);
+    CHECK(Longest > Bound / 2);
+    CHECK(Shortest < Bound / 4);
+  }
+}
