--- /dev/null
+++ b/src/overload/admissioncontroller.h
@@ -0,0 +1,71 @@
+#ifndef JACKDAW_OVERLOAD_ADMISSIONCONTROLLER_H
+#define JACKDAW_OVERLOAD_ADMISSIONCONTROLLER_H
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "overload/level.h"
+
+#include <array>
+#include <cstdint>
+
+namespace overload {
+
+struct AdmissionSettings {
+  /// Queueing delay that is acceptable at all times.
+  base::Duration Target = std::chrono::milliseconds(20);
+  /// A delay above the target for this long raises the level.
+  base::Duration Interval = std::chrono::milliseconds(100);
+};
+
+/// Computes the admission level of one daemon from the delay in its queue.
+///
+/// The level is stricter after each interval in which the oldest entry of the
+/// queue was over the target all the time. It enters a class only if this class
+/// or a higher one was delayed itself, so that a class is not refused while a
+/// lower one is served.
+class AdmissionController {
+public:
+  /// Longest current wait per class, from `FairQueue::oldestWaits`.
+  using ClassWaits = std::array<base::Duration, base::kPriorityClassCount>;
+
+  AdmissionController(const base::Clock &Time, AdmissionSettings Settings);
+
+  /// Whether a request may enter the queue under this daemon's own level.
+  /// Counts the request, so call it once per request.
+  bool admit(base::PriorityClass Class, std::uint8_t Value);
+
+  /// Must be called for each entry that leaves the queue to run.
+  void started() { ++Started; }
+
+  /// Must be called about every 10 ms.
+  void tick(const ClassWaits &OldestWaits);
+
+  Level level() const { return Level::fromIndex(Index); }
+
+private:
+  void finishInterval();
+  void tighten(base::PriorityClass Delayed, base::Duration Wait);
+  void loosen();
+  /// Index that removes `Share` of the requests that the level admits.
+  std::uint32_t indexWithout(double Share) const;
+
+  const base::Clock &Time;
+  const AdmissionSettings Settings;
+  std::uint32_t Index = kLevelCount - 1;
+  /// Index at which the last overload was seen.
+  std::uint32_t OverloadIndex = kLevelCount - 1;
+  std::uint32_t Step = 1;
+  /// Decaying numbers of requests by the index that just admits them.
+  std::array<double, kLevelCount> Offered{};
+  std::uint32_t Admitted = 0;
+  std::uint32_t Started = 0;
+  /// Shortest of the oldest waits in this interval and in the one before.
+  ClassWaits ShortestWaits{};
+  base::Duration WaitBefore{};
+  bool AnyTick = false;
+  base::BootTime IntervalStart;
+};
+
+} // namespace overload
+
+#endif // JACKDAW_OVERLOAD_ADMISSIONCONTROLLER_H
--- /dev/null
+++ b/src/overload/concurrencylimit.h
@@ -0,0 +1,53 @@
+#ifndef JACKDAW_OVERLOAD_CONCURRENCYLIMIT_H
+#define JACKDAW_OVERLOAD_CONCURRENCYLIMIT_H
+
+#include "base/clock.h"
+
+#include <cstdint>
+
+namespace overload {
+
+/// How a call to the backend server ended, as seen by the daemon.
+enum class CallEnd : std::uint8_t {
+  /// The backend server responded; application errors count as responses.
+  Responded,
+  /// The backend server refused the call for lack of capacity, did not accept
+  /// the connection, or exceeded the deadline.
+  Failed,
+  /// The call was cancelled and says nothing about the backend server.
+  Cancelled,
+};
+
+/// Limit on the calls in flight to one backend server.
+class ConcurrencyLimit {
+public:
+  virtual ~ConcurrencyLimit() = default;
+
+  /// Calls that may be in flight now, at least 1.
+  virtual std::uint32_t limit() const = 0;
+
+  std::uint32_t inFlight() const { return InFlight; }
+  bool hasRoom() const { return InFlight < limit(); }
+
+  /// Must be called when a call is passed to the backend server.
+  void callStarted();
+
+  /// Must be called once for each started call. `Latency` is the time since
+  /// the call was passed to the backend server.
+  void callEnded(CallEnd End, base::Duration Latency);
+
+  /// Must be called about every 10 ms.
+  virtual void tick() {}
+
+protected:
+  /// Called before the number of calls in flight changes.
+  virtual void beforeChange() {}
+  virtual void ended(CallEnd, base::Duration) {}
+
+private:
+  std::uint32_t InFlight = 0;
+};
+
+} // namespace overload
+
+#endif // JACKDAW_OVERLOAD_CONCURRENCYLIMIT_H
--- /dev/null
+++ b/src/overload/fixedlimit.h
@@ -0,0 +1,24 @@
+#ifndef JACKDAW_OVERLOAD_FIXEDLIMIT_H
+#define JACKDAW_OVERLOAD_FIXEDLIMIT_H
+
+#include "overload/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace overload {
+
+/// A limit that never changes; the baseline for measurements.
+class FixedLimit final : public ConcurrencyLimit {
+public:
+  explicit FixedLimit(std::uint32_t Slots)
+      : Slots(std::max<std::uint32_t>(Slots, 1)) {}
+
+  std::uint32_t limit() const override { return Slots; }
+
+private:
+  const std::uint32_t Slots;
+};
+
+} // namespace overload
+
+#endif // JACKDAW_OVERLOAD_FIXEDLIMIT_H
--- /dev/null
+++ b/src/overload/internal/adaptivelimit.cpp
@@ -0,0 +1,237 @@
+#include "overload/adaptivelimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace overload {
+
+namespace {
+
+/// The first limit after a cold start as a share of the slots.
+constexpr double kInitialShare = 0.1;
+
+constexpr double kShortestWindowSeconds = 0.1;
+constexpr double kLongestWindowSeconds = 5;
+constexpr double kLongestSettlingSeconds = 1;
+constexpr double kResponsesPerSlot = 4;
+constexpr double kFewestResponses = 8;
+constexpr double kMostResponses = 200;
+constexpr double kLatenciesPerWindow = 2;
+
+/// A limit that is never reached says nothing about growth.
+constexpr double kSaturatedShare = 0.1;
+
+/// Latency relative to the base latency up to which the limit grows, and
+/// beyond which it is cut.
+constexpr double kGrowthRatio = 1.2;
+constexpr double kCutRatio = 1.5;
+constexpr double kRatioAfterCut = 1.3;
+constexpr double kGrowthShare = 0.1;
+constexpr double kDeepestCut = 0.5;
+constexpr double kProbeFactor = 0.7;
+
+/// Share of the expected fall in latency that confirms a cut.
+constexpr double kConfirmingFall = 0.4;
+
+/// Standard errors by which a latency must exceed its bound.
+constexpr double kCertainty = 2;
+
+constexpr std::uint32_t kWindowsBetweenProbes = 60;
+constexpr std::uint32_t kWindowsHeldBeforeProbe = 6;
+
+constexpr double kFailureTolerance = 0.1;
+constexpr double kFailureCut = 0.7;
+
+double toSeconds(base::Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+base::Duration fromSeconds(double Value) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(Value));
+}
+
+} // namespace
+
+double AdaptiveLimit::Window::meanLatency() const {
+  return Responses == 0 ? 0 : LatencySum / Responses;
+}
+
+double AdaptiveLimit::Window::latencyError() const {
+  if (Responses < 2)
+    return meanLatency();
+  const double Mean = meanLatency();
+  const double Variance = LatencySquares / Responses - Mean * Mean;
+  return std::sqrt(std::max(Variance, 0.0) / Responses);
+}
+
+double AdaptiveLimit::Window::failureShare() const {
+  const std::uint32_t All = Responses + Failures;
+  return All == 0 ? 0 : static_cast<double>(Failures) / All;
+}
+
+double AdaptiveLimit::Window::meanInFlight() const {
+  return Elapsed <= 0 ? 0 : InFlightTime / Elapsed;
+}
+
+bool AdaptiveLimit::Window::saturated() const {
+  return SaturatedTime >= kSaturatedShare * Elapsed;
+}
+
+AdaptiveLimit::AdaptiveLimit(const base::Clock &Time, std::uint32_t Slots)
+    : Time(Time), Slots(std::max<std::uint32_t>(Slots, 1)),
+      Limit(std::max(1.0, kInitialShare * Slots)), LastUpdate(Time.now()),
+      SettledAt(LastUpdate) {}
+
+std::uint32_t AdaptiveLimit::limit() const {
+  return static_cast<std::uint32_t>(std::clamp(Limit, 1.0, Slots));
+}
+
+base::Duration AdaptiveLimit::baseLatency() const { return fromSeconds(Base); }
+
+void AdaptiveLimit::tick() {
+  accumulate();
+  if (windowComplete())
+    finishWindow();
+}
+
+void AdaptiveLimit::beforeChange() { accumulate(); }
+
+void AdaptiveLimit::ended(CallEnd End, base::Duration Latency) {
+  if (End == CallEnd::Cancelled || LastUpdate < SettledAt)
+    return;
+  if (End == CallEnd::Failed) {
+    ++Current.Failures;
+    return;
+  }
+  const double Seconds = toSeconds(Latency);
+  ++Current.Responses;
+  Current.LatencySum += Seconds;
+  Current.LatencySquares += Seconds * Seconds;
+}
+
+void AdaptiveLimit::accumulate() {
+  const base::BootTime Now = Time.now();
+  const double Step = toSeconds(Now - std::max(LastUpdate, SettledAt));
+  LastUpdate = Now;
+  if (Step <= 0)
+    return;
+  Current.Elapsed += Step;
+  Current.InFlightTime += Step * inFlight();
+  if (!hasRoom())
+    Current.SaturatedTime += Step;
+}
+
+bool AdaptiveLimit::windowComplete() const {
+  const std::uint32_t Ends = Current.Responses + Current.Failures;
+  if (Ends == 0 || Current.Elapsed < kShortestWindowSeconds)
+    return false;
+  if (Current.Elapsed >= kLongestWindowSeconds)
+    return true;
+  const double Needed =
+      std::clamp(kResponsesPerSlot * Limit, kFewestResponses, kMostResponses);
+  return Ends >= Needed &&
+         Current.Elapsed >= kLatenciesPerWindow * Current.meanLatency();
+}
+
+void AdaptiveLimit::finishWindow() {
+  if (State == Phase::Steady)
+    adjust();
+  else
+    compareWithBefore();
+  Current = Window();
+}
+
+void AdaptiveLimit::compareWithBefore() {
+  const double InFlightRatio =
+      Current.meanInFlight() / std::max(Before.meanInFlight(), 1.0);
+  const double ExpectedFall = std::max(0.0, 1 - InFlightRatio);
+  const double Confirming = 1 - kConfirmingFall * ExpectedFall;
+  const bool Measured = Current.Responses > 0 && Before.Responses > 0;
+  const bool Slower =
+      Measured && Current.meanLatency() > Before.meanLatency() * Confirming;
+  if (Slower)
+    Base = Current.meanLatency();
+  else if (Measured)
+    Base = std::min(Base, Current.meanLatency());
+
+  const bool FailuresRemain =
+      Current.failureShare() > Before.failureShare() * Confirming;
+  if (FailuresRemain)
+    BaseFailures = Current.failureShare();
+
+  const bool Undo = State == Phase::Probe || (Slower && FailuresRemain) ||
+                    (Slower && Before.failureShare() <= kFailureTolerance);
+  State = Phase::Steady;
+  if (Undo)
+    changeLimit(LimitBefore);
+}
+
+void AdaptiveLimit::adjust() {
+  ++WindowsSinceProbe;
+  if (cutForFailures())
+    return;
+  if (Current.Responses == 0)
+    return;
+  const double Mean = Current.meanLatency();
+  const double Error = Current.latencyError();
+  if (Base == 0 || Mean + Error < Base)
+    Base = Mean;
+  if (!Current.saturated())
+    return;
+  adjustForLatency(Mean / Base, (Mean - kCertainty * Error) / Base);
+}
+
+void AdaptiveLimit::adjustForLatency(double Ratio, double CertainRatio) {
+  if (CertainRatio > kCutRatio) {
+    SlowStart = false;
+    startCut(std::max(kDeepestCut, kRatioAfterCut / Ratio), Phase::VerifyCut);
+    return;
+  }
+  const bool Held = Ratio > kGrowthRatio;
+  WindowsHeld = Held ? WindowsHeld + 1 : 0;
+  if (WindowsHeld >= kWindowsHeldBeforeProbe ||
+      WindowsSinceProbe >= kWindowsBetweenProbes) {
+    startCut(kProbeFactor, Phase::Probe);
+    return;
+  }
+  if (Held) {
+    SlowStart = false;
+    return;
+  }
+  const double Growth = SlowStart ? Limit : std::max(1.0, kGrowthShare * Limit);
+  changeLimit(Limit + Growth);
+}
+
+bool AdaptiveLimit::cutForFailures() {
+  const double Share = Current.failureShare();
+  BaseFailures = std::min(BaseFailures, Share);
+  if (Share <= BaseFailures + kFailureTolerance)
+    return false;
+  SlowStart = false;
+  startCut(kFailureCut, Phase::VerifyCut);
+  return true;
+}
+
+void AdaptiveLimit::startCut(double Factor, Phase Next) {
+  Before = Current;
+  LimitBefore = Limit;
+  WindowsSinceProbe = 0;
+  WindowsHeld = 0;
+  const double Smaller = std::min(Limit * Factor, Limit - 1);
+  if (Smaller < 1 && Limit <= 1)
+    return;
+  State = Next;
+  changeLimit(Smaller);
+}
+
+// Calls that were started under the old limit would blur the next window, so
+// it starts one mean latency later.
+void AdaptiveLimit::changeLimit(double New) {
+  Limit = std::clamp(New, 1.0, Slots);
+  const double Settling =
+      std::min(Current.meanLatency(), kLongestSettlingSeconds);
+  SettledAt = LastUpdate + fromSeconds(Settling);
+}
+
+} // namespace overload
--- /dev/null
+++ b/src/overload/internal/concurrencylimit.cpp
@@ -0,0 +1,17 @@
+#include "overload/concurrencylimit.h"
+
+namespace overload {
+
+void ConcurrencyLimit::callStarted() {
+  beforeChange();
+  ++InFlight;
+}
+
+void ConcurrencyLimit::callEnded(CallEnd End, base::Duration Latency) {
+  beforeChange();
+  if (InFlight > 0)
+    --InFlight;
+  ended(End, Latency);
+}
+
+} // namespace overload
--- /dev/null
+++ b/src/overload/internal/fairqueue.cpp
@@ -0,0 +1,162 @@
+#include "overload/fairqueue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace overload {
+
+namespace {
+
+/// Bounds the rounds that one call of `pop` needs.
+constexpr std::uint32_t kLargestCost = 64;
+
+} // namespace
+
+FairQueue::FairQueue(const base::Clock &Time, QueueSettings Settings)
+    : Time(Time), Settings(Settings) {}
+
+void FairQueue::setWeight(const base::WorkspaceName &Workspace,
+                          std::uint32_t Weight) {
+  Weights[Workspace] = std::max<std::uint32_t>(Weight, 1);
+}
+
+std::optional<DepartedEntry> FairQueue::push(QueueEntry Entry) {
+  const base::BootTime Now = Time.now();
+  if (Entry.Deadline <= Now)
+    return DepartedEntry{std::move(Entry), Departure::DeadlinePassed, {}};
+  expire();
+  Entry.Cost = std::clamp<std::uint32_t>(Entry.Cost, 1, kLargestCost);
+  insert(std::move(Entry));
+  if (size() <= Settings.MaxLength)
+    return std::nullopt;
+  return departed(remove(victim()), Departure::Shed);
+}
+
+std::optional<DepartedEntry> FairQueue::pop() {
+  expire();
+  for (ClassQueue &Queue : Classes) {
+    if (Queue.Rounds.empty())
+      continue;
+    const base::RequestId Next = nextInRounds(Queue);
+    return departed(remove(Next), Departure::Started);
+  }
+  return std::nullopt;
+}
+
+bool FairQueue::cancel(const base::RequestId &Id) {
+  if (!Places.contains(Id))
+    return false;
+  remove(Id);
+  return true;
+}
+
+std::vector<DepartedEntry> FairQueue::takeExpired() {
+  expire();
+  return std::exchange(Expired, {});
+}
+
+std::size_t FairQueue::size(base::PriorityClass Class) const {
+  return Classes[static_cast<std::size_t>(Class)].Arrivals.size();
+}
+
+std::array<base::Duration, base::kPriorityClassCount>
+FairQueue::oldestWaits() const {
+  const base::BootTime Now = Time.now();
+  std::array<base::Duration, base::kPriorityClassCount> Waits{};
+  for (std::size_t Index = 0; Index < Classes.size(); ++Index) {
+    const auto &Arrivals = Classes[Index].Arrivals;
+    if (!Arrivals.empty())
+      Waits[Index] = Now - Arrivals.begin()->first;
+  }
+  return Waits;
+}
+
+FairQueue::ClassQueue &FairQueue::queueOf(base::PriorityClass Class) {
+  return Classes[static_cast<std::size_t>(Class)];
+}
+
+std::uint32_t FairQueue::weightOf(const base::WorkspaceName &Workspace) const {
+  const auto Found = Weights.find(Workspace);
+  return Found == Weights.end() ? 1 : Found->second;
+}
+
+void FairQueue::insert(QueueEntry Entry) {
+  const base::BootTime Now = Time.now();
+  const base::BootTime ExpiresAt =
+      std::min(Now + Settings.MaxWait, Entry.Deadline);
+  const EntryOrder Order{Now - Entry.WaitedBefore, ++LastSequence};
+  ClassQueue &Queue = queueOf(Entry.Class);
+  Flow &Target = Queue.Flows[Entry.Workspace];
+  if (Target.Entries.empty())
+    Queue.Rounds.push_back(Entry.Workspace);
+  Queue.Arrivals.emplace(Now, Order.second);
+  Expiries.emplace(ExpiresAt, Entry.Id);
+  Places.emplace(Entry.Id, Place{Entry.Class, Entry.Workspace, Order});
+  Target.Entries.emplace(Order, Queued{std::move(Entry), Now, ExpiresAt});
+}
+
+FairQueue::Queued FairQueue::remove(const base::RequestId &Id) {
+  const auto Found = Places.find(Id);
+  const Place At = std::move(Found->second);
+  Places.erase(Found);
+  ClassQueue &Queue = queueOf(At.Class);
+  const auto Target = Queue.Flows.find(At.Workspace);
+  auto Node = Target->second.Entries.extract(At.Order);
+  Queued Result = std::move(Node.mapped());
+  Expiries.erase({Result.ExpiresAt, Id});
+  Queue.Arrivals.erase({Result.Since, At.Order.second});
+  if (Target->second.Entries.empty()) {
+    Queue.Flows.erase(Target);
+    std::erase(Queue.Rounds, At.Workspace);
+  }
+  return Result;
+}
+
+base::RequestId FairQueue::nextInRounds(ClassQueue &Queue) {
+  for (;;) {
+    const base::WorkspaceName Workspace = Queue.Rounds.front();
+    Flow &Candidate = Queue.Flows.at(Workspace);
+    if (!Candidate.Visited) {
+      Candidate.Visited = true;
+      Candidate.Deficit += weightOf(Workspace);
+    }
+    const QueueEntry &First = Candidate.Entries.begin()->second.Entry;
+    if (First.Cost <= Candidate.Deficit) {
+      Candidate.Deficit -= First.Cost;
+      return First.Id;
+    }
+    Candidate.Visited = false;
+    Queue.Rounds.pop_front();
+    Queue.Rounds.push_back(Workspace);
+  }
+}
+
+base::RequestId FairQueue::victim() const {
+  const auto Lowest = std::find_if(
+      Classes.rbegin(), Classes.rend(),
+      [](const ClassQueue &Queue) { return !Queue.Flows.empty(); });
+  const auto Largest = std::max_element(
+      Lowest->Flows.begin(), Lowest->Flows.end(),
+      [](const auto &First, const auto &Second) {
+        return First.second.Entries.size() < Second.second.Entries.size();
+      });
+  return Largest->second.Entries.rbegin()->second.Entry.Id;
+}
+
+void FairQueue::expire() {
+  const base::BootTime Now = Time.now();
+  while (!Expiries.empty() && Expiries.begin()->first <= Now) {
+    const base::RequestId Id = Expiries.begin()->second;
+    Queued Left = remove(Id);
+    const Departure Reason = Left.Entry.Deadline <= Now
+                                 ? Departure::DeadlinePassed
+                                 : Departure::WaitedTooLong;
+    Expired.push_back(departed(std::move(Left), Reason));
+  }
+}
+
+DepartedEntry FairQueue::departed(Queued Left, Departure Reason) const {
+  return {std::move(Left.Entry), Reason, Time.now() - Left.Since};
+}
+
+} // namespace overload
--- /dev/null
+++ b/src/overload/internal/requestvalue.cpp
@@ -0,0 +1,32 @@
+#include "overload/requestvalue.h"
+
+#include "base/hash.h"
+#include "overload/level.h"
+
+#include <string_view>
+
+namespace overload {
+
+namespace {
+
+constexpr std::chrono::seconds kValuePeriod{10};
+
+} // namespace
+
+std::uint64_t valuePeriod(base::WallTime Now) {
+  return static_cast<std::uint64_t>(Now.time_since_epoch() / kValuePeriod);
+}
+
+std::uint8_t requestValue(const base::RootId &Root,
+                          const base::WorkspaceName &Workspace,
+                          std::uint64_t Period) {
+  const std::string_view RootBytes(
+      reinterpret_cast<const char *>(Root.Bytes.data()), Root.Bytes.size());
+  const std::uint64_t RootHash = base::stableHash(RootBytes);
+  const std::uint64_t Owner = base::stableHash(Workspace.str());
+  const std::uint64_t Hash =
+      base::combineHashes(base::combineHashes(RootHash, Owner), Period);
+  return static_cast<std::uint8_t>(Hash % kValueCount);
+}
+
+} // namespace overload
--- /dev/null
+++ b/src/overload/internal/workspacedemand.cpp
@@ -0,0 +1,64 @@
+#include "overload/workspacedemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace overload {
+
+namespace {
+
+constexpr std::chrono::milliseconds kDecayEvery{100};
+
+/// Time over which the weight of an attempt falls to 1/e.
+constexpr double kMemorySeconds = 2;
+
+/// Demands below this are forgotten.
+constexpr double kNegligibleDemand = 0.01;
+
+} // namespace
+
+WorkspaceDemand::WorkspaceDemand(const base::Clock &Time)
+    : Time(Time), DecayedAt(Time.now()) {}
+
+void WorkspaceDemand::setWeight(const base::WorkspaceName &Workspace,
+                                std::uint32_t Weight) {
+  Weights[Workspace] = std::max<std::uint32_t>(Weight, 1);
+}
+
+std::uint8_t
+WorkspaceDemand::correctedValue(const base::WorkspaceName &Workspace,
+                                base::PriorityClass Class, std::uint8_t Value) {
+  if (Time.now() - DecayedAt >= kDecayEvery)
+    decay();
+  const auto Index = static_cast<std::size_t>(Class);
+  double &Demand = Demands[Workspace][Index];
+  Demand += 1 / weightOf(Workspace);
+  Largest[Index] = std::max(Largest[Index], Demand);
+  return static_cast<std::uint8_t>(Value * Demand / Largest[Index]);
+}
+
+void WorkspaceDemand::decay() {
+  const base::BootTime Now = Time.now();
+  const double Elapsed = std::chrono::duration<double>(Now - DecayedAt).count();
+  const double Factor = std::exp(-Elapsed / kMemorySeconds);
+  DecayedAt = Now;
+  Largest = {};
+  for (auto &[Workspace, Demand] : Demands) {
+    for (std::size_t Class = 0; Class < Demand.size(); ++Class) {
+      Demand[Class] *= Factor;
+      Largest[Class] = std::max(Largest[Class], Demand[Class]);
+    }
+  }
+  std::erase_if(Demands, [](const auto &Item) {
+    return std::all_of(
+        Item.second.begin(), Item.second.end(),
+        [](double Demand) { return Demand < kNegligibleDemand; });
+  });
+}
+
+double WorkspaceDemand::weightOf(const base::WorkspaceName &Workspace) const {
+  const auto Found = Weights.find(Workspace);
+  return Found == Weights.end() ? 1 : Found->second;
+}
+
+} // namespace overload
--- /dev/null
+++ b/src/overload/requestvalue.h
@@ -0,0 +1,24 @@
+#ifndef JACKDAW_OVERLOAD_REQUESTVALUE_H
+#define JACKDAW_OVERLOAD_REQUESTVALUE_H
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/types.h"
+
+#include <cstdint>
+
+namespace overload {
+
+/// Number of the 10 s period that contains `Now`.
+std::uint64_t valuePeriod(base::WallTime Now);
+
+/// Value of a request, 0 to 127, evenly distributed. It is fixed at the root
+/// and travels with the call, so that all hops admit the same requests; lower
+/// values are admitted first.
+std::uint8_t requestValue(const base::RootId &Root,
+                          const base::WorkspaceName &Workspace,
+                          std::uint64_t Period);
+
+} // namespace overload
+
+#endif // JACKDAW_OVERLOAD_REQUESTVALUE_H
--- /dev/null
+++ b/src/overload/tests/fairqueuetest.cpp
@@ -0,0 +1,139 @@
+#include "overload/fairqueue.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace std::chrono_literals;
+using base::PriorityClass;
+using overload::Departure;
+using overload::FairQueue;
+using overload::QueueEntry;
+
+namespace {
+
+struct QueueFixture {
+  base::ManualClock Clock;
+  std::uint8_t LastId = 0;
+
+  QueueEntry entry(const char *Workspace,
+                   PriorityClass Class = PriorityClass::Normal) {
+    QueueEntry Result;
+    Result.Id.Bytes[0] = ++LastId;
+    Result.Workspace = base::WorkspaceName(Workspace);
+    Result.Class = Class;
+    Result.Deadline = Clock.now() + 10s;
+    return Result;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "a workspace with many entries does not delay the others") {
+  FairQueue Queue(Clock, {});
+  for (int Index = 0; Index < 20; ++Index)
+    Queue.push(entry("large"));
+  Queue.push(entry("small"));
+  Queue.push(entry("small"));
+  std::map<std::string, int> Served;
+  for (int Index = 0; Index < 4; ++Index)
+    ++Served[Queue.pop()->Entry.Workspace.str()];
+  CHECK(Served["small"] == 2);
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "shares follow cost, so expensive requests gain nothing") {
+  FairQueue Queue(Clock, {});
+  for (int Index = 0; Index < 30; ++Index) {
+    QueueEntry Expensive = entry("expensive");
+    Expensive.Cost = 4;
+    Queue.push(Expensive);
+    Queue.push(entry("cheap"));
+  }
+  std::map<std::string, std::uint32_t> Cost;
+  for (int Index = 0; Index < 25; ++Index) {
+    const auto Next = Queue.pop();
+    Cost[Next->Entry.Workspace.str()] += Next->Entry.Cost;
+  }
+  CHECK(Cost["cheap"] >= 16);
+  CHECK(Cost["expensive"] <= 24);
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "no lower class runs before a higher one, and no higher one "
+                  "is shed while a lower one is queued") {
+  FairQueue Queue(Clock, {.MaxLength = 3});
+  Queue.push(entry("a", PriorityClass::Background));
+  Queue.push(entry("a", PriorityClass::Critical));
+  Queue.push(entry("a", PriorityClass::Normal));
+  const auto First = Queue.push(entry("b", PriorityClass::Critical));
+  REQUIRE(First);
+  CHECK(First->Entry.Class == PriorityClass::Background);
+  const auto Second = Queue.push(entry("b", PriorityClass::Critical));
+  REQUIRE(Second);
+  CHECK(Second->Entry.Class == PriorityClass::Normal);
+  const QueueEntry Late = entry("b", PriorityClass::Normal);
+  const auto Third = Queue.push(Late);
+  REQUIRE(Third);
+  CHECK(Third->Entry.Id == Late.Id);
+  CHECK(Third->Reason == Departure::Shed);
+  CHECK(Queue.size(PriorityClass::Critical) == 3);
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "a full queue sheds the newest entry of the workspace with "
+                  "the most queued, not that of a small workspace") {
+  FairQueue Queue(Clock, {.MaxLength = 3});
+  Queue.push(entry("large"));
+  Queue.push(entry("large"));
+  const QueueEntry Newest = entry("large");
+  Queue.push(Newest);
+  const auto Shed = Queue.push(entry("small"));
+  REQUIRE(Shed);
+  CHECK(Shed->Entry.Id == Newest.Id);
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "an entry never runs after its wait limit or deadline") {
+  FairQueue Queue(Clock, {});
+  Queue.push(entry("a"));
+  QueueEntry Urgent = entry("a");
+  Urgent.Deadline = Clock.now() + 50ms;
+  Queue.push(Urgent);
+  QueueEntry Past = entry("a");
+  Past.Deadline = Clock.now();
+  REQUIRE(Queue.push(Past));
+
+  Clock.advance(50ms);
+  const auto AtDeadline = Queue.takeExpired();
+  REQUIRE(AtDeadline.size() == 1);
+  CHECK(AtDeadline[0].Entry.Id == Urgent.Id);
+  CHECK(AtDeadline[0].Reason == Departure::DeadlinePassed);
+  Clock.advance(50ms);
+  CHECK_FALSE(Queue.pop());
+  const auto AtLimit = Queue.takeExpired();
+  REQUIRE(AtLimit.size() == 1);
+  CHECK(AtLimit[0].Reason == Departure::WaitedTooLong);
+  CHECK(AtLimit[0].Waited == 100ms);
+}
+
+TEST_CASE_FIXTURE(QueueFixture, "a cancelled entry does not run") {
+  FairQueue Queue(Clock, {});
+  const QueueEntry Cancelled = entry("a");
+  Queue.push(Cancelled);
+  CHECK(Queue.cancel(Cancelled.Id));
+  CHECK_FALSE(Queue.cancel(Cancelled.Id));
+  CHECK_FALSE(Queue.pop());
+  CHECK(Queue.takeExpired().empty());
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "work that has waited at earlier hops precedes new work") {
+  FairQueue Queue(Clock, {});
+  Queue.push(entry("a"));
+  QueueEntry Admitted = entry("a");
+  Admitted.WaitedBefore = 30ms;
+  Queue.push(Admitted);
+  CHECK(Queue.pop()->Entry.Id == Admitted.Id);
+}
--- /dev/null
+++ b/src/overload/workspacedemand.h
@@ -0,0 +1,48 @@
+#ifndef JACKDAW_OVERLOAD_WORKSPACEDEMAND_H
+#define JACKDAW_OVERLOAD_WORKSPACEDEMAND_H
+
+#include "base/clock.h"
+#include "base/types.h"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+namespace overload {
+
+/// Corrects request values at the entry by the recent demand of workspaces.
+///
+/// The value of a request is multiplied by the demand of its workspace
+/// relative to the largest demand in its class. A threshold then cuts all
+/// workspaces to the same admitted rate and leaves alone those that ask for
+/// less (max-min fairness). The corrected value travels with the call, so that
+/// all hops still admit the same requests. Every attempt counts, so repeating
+/// refused requests gains a workspace nothing.
+class WorkspaceDemand {
+public:
+  explicit WorkspaceDemand(const base::Clock &Time);
+
+  /// Sets the share of a workspace relative to others; 1 if not set.
+  void setWeight(const base::WorkspaceName &Workspace, std::uint32_t Weight);
+
+  /// Counts an attempt at the entry and returns its corrected value.
+  std::uint8_t correctedValue(const base::WorkspaceName &Workspace,
+                              base::PriorityClass Class, std::uint8_t Value);
+
+private:
+  using ByClass = std::array<double, base::kPriorityClassCount>;
+
+  void decay();
+  double weightOf(const base::WorkspaceName &Workspace) const;
+
+  const base::Clock &Time;
+  /// Decaying number of attempts divided by weight.
+  std::unordered_map<base::WorkspaceName, ByClass> Demands;
+  std::unordered_map<base::WorkspaceName, std::uint32_t> Weights;
+  ByClass Largest{};
+  base::BootTime DecayedAt;
+};
+
+} // namespace overload
+
+#endif // JACKDAW_OVERLOAD_WORKSPACEDEMAND_H
