Verify cuts of the concurrency limit by throughput

Cause: the check compared latencies, which missed a first limit above the capacity (probes then only lowered the base latency step by step) and cut twice when the service itself became slower. Throughput tells both cases apart.

--- a/src/overload/adaptivelimit.h
+++ b/src/overload/adaptivelimit.h
@@ -10,11 +10,11 @@
 /// A limit that follows the capacity of the backend server.
 ///
 /// The limit works in measuring windows. Mean latency near the latency without
-/// queueing (the base latency) lets the limit grow. Higher latency cuts it, and
-/// the next window verifies the cut: if latency has not fallen with the calls
-/// in flight, the backend server is slower rather than queueing, so that the
-/// cut is undone and the base latency is raised. From time to time a probe with
-/// a lower limit measures the base latency anew.
+/// queueing (the base latency) lets the limit grow. Higher latency or failures
+/// cut it, and the next window verifies the cut: if throughput has fallen, the
+/// backend server is slower rather than queueing, so that the cut is undone and
+/// the base latency is raised. From time to time a probe with a lower limit
+/// measures the base latency anew.
 class AdaptiveLimit final : public ConcurrencyLimit {
 public:
   /// `Slots` is the upper bound, from the service file.
@@ -39,14 +39,14 @@
     double LatencySum = 0;
     double LatencySquares = 0;
     double Elapsed = 0;
-    double InFlightTime = 0;
     double SaturatedTime = 0;
 
     double meanLatency() const;
     /// Standard error of the mean latency.
     double latencyError() const;
     double failureShare() const;
-    double meanInFlight() const;
+    /// Responses per second.
+    double throughput() const;
     bool saturated() const;
   };
 
@@ -62,6 +62,9 @@
   void startCut(double Factor, Phase Next);
   void changeLimit(double New);
 
+  static constexpr std::uint32_t kWindowsBetweenProbes = 60;
+  static constexpr std::uint32_t kWindowsHeldBeforeProbe = 6;
+
   const base::Clock &Time;
   const double Slots;
   double Limit;
@@ -76,7 +79,10 @@
   Window Before;
   double LimitBefore = 0;
   std::uint32_t WindowsSinceProbe = 0;
+  /// Windows in a row in which latency allowed neither growth nor a cut.
   std::uint32_t WindowsHeld = 0;
+  /// Held windows before the next probe; doubles while probes change nothing.
+  std::uint32_t HeldBeforeProbe = kWindowsHeldBeforeProbe;
   base::BootTime LastUpdate;
   base::BootTime SettledAt;
 };
--- a/src/overload/internal/adaptivelimit.cpp
+++ b/src/overload/internal/adaptivelimit.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// The first limit after a cold start as a share of the slots.
+/// The first limit after a cold start: a share of the slots, but no more than a
+/// few calls.
 constexpr double kInitialShare = 0.1;
+constexpr double kHighestInitial = 4;
 
 constexpr double kShortestWindowSeconds = 0.1;
 constexpr double kLongestWindowSeconds = 5;
@@ -30,15 +32,13 @@
 constexpr double kDeepestCut = 0.5;
 constexpr double kProbeFactor = 0.7;
 
-/// Share of the expected fall in latency that confirms a cut.
-constexpr double kConfirmingFall = 0.4;
+/// Share of the throughput that remains after a cut which cost no capacity.
+constexpr double kKeptThroughput = 0.93;
+constexpr double kSmallestThroughput = 1e-3;
 
 /// Standard errors by which a latency must exceed its bound.
 constexpr double kCertainty = 2;
 
-constexpr std::uint32_t kWindowsBetweenProbes = 60;
-constexpr std::uint32_t kWindowsHeldBeforeProbe = 6;
-
 constexpr double kFailureTolerance = 0.1;
 constexpr double kFailureCut = 0.7;
 
@@ -70,8 +70,8 @@
   return All == 0 ? 0 : static_cast<double>(Failures) / All;
 }
 
-double AdaptiveLimit::Window::meanInFlight() const {
-  return Elapsed <= 0 ? 0 : InFlightTime / Elapsed;
+double AdaptiveLimit::Window::throughput() const {
+  return Elapsed <= 0 ? 0 : Responses / Elapsed;
 }
 
 bool AdaptiveLimit::Window::saturated() const {
@@ -80,8 +80,8 @@
 
 AdaptiveLimit::AdaptiveLimit(const base::Clock &Time, std::uint32_t Slots)
     : Time(Time), Slots(std::max<std::uint32_t>(Slots, 1)),
-      Limit(std::max(1.0, kInitialShare * Slots)), LastUpdate(Time.now()),
-      SettledAt(LastUpdate) {}
+      Limit(std::clamp(kInitialShare * Slots, 1.0, kHighestInitial)),
+      LastUpdate(Time.now()), SettledAt(LastUpdate) {}
 
 std::uint32_t AdaptiveLimit::limit() const {
   return static_cast<std::uint32_t>(std::clamp(Limit, 1.0, Slots));
@@ -117,7 +117,6 @@
   if (Step <= 0)
     return;
   Current.Elapsed += Step;
-  Current.InFlightTime += Step * inFlight();
   if (!hasRoom())
     Current.SaturatedTime += Step;
 }
@@ -142,29 +141,26 @@
   Current = Window();
 }
 
+// Below the capacity, throughput falls with the calls in flight; above it,
+// fewer calls in flight cost nothing.
 void AdaptiveLimit::compareWithBefore() {
-  const double InFlightRatio =
-      Current.meanInFlight() / std::max(Before.meanInFlight(), 1.0);
-  const double ExpectedFall = std::max(0.0, 1 - InFlightRatio);
-  const double Confirming = 1 - kConfirmingFall * ExpectedFall;
-  const bool Measured = Current.Responses > 0 && Before.Responses > 0;
-  const bool Slower =
-      Measured && Current.meanLatency() > Before.meanLatency() * Confirming;
-  if (Slower)
-    Base = Current.meanLatency();
-  else if (Measured)
-    Base = std::min(Base, Current.meanLatency());
-
-  const bool FailuresRemain =
-      Current.failureShare() > Before.failureShare() * Confirming;
-  if (FailuresRemain)
-    BaseFailures = Current.failureShare();
-
-  const bool Undo = State == Phase::Probe || (Slower && FailuresRemain) ||
-                    (Slower && Before.failureShare() <= kFailureTolerance);
+  const bool Probed = State == Phase::Probe;
   State = Phase::Steady;
-  if (Undo)
-    changeLimit(LimitBefore);
+  const double Kept =
+      Current.throughput() / std::max(Before.throughput(), kSmallestThroughput);
+  const bool Measured = Current.Responses > 0;
+  if (Kept >= kKeptThroughput || !Current.saturated()) {
+    HeldBeforeProbe = kWindowsHeldBeforeProbe;
+    if (Measured)
+      Base = std::min(Base, Current.meanLatency());
+    return;
+  }
+  HeldBeforeProbe = std::min(2 * HeldBeforeProbe, kWindowsBetweenProbes);
+  if (Measured)
+    Base = Current.meanLatency();
+  BaseFailures = std::max(BaseFailures, Current.failureShare());
+  const double Knee = Limit / std::max(Kept, kDeepestCut);
+  changeLimit(Probed ? LimitBefore : std::min(Knee, LimitBefore));
 }
 
 void AdaptiveLimit::adjust() {
@@ -190,7 +186,7 @@
   }
   const bool Held = Ratio > kGrowthRatio;
   WindowsHeld = Held ? WindowsHeld + 1 : 0;
-  if (WindowsHeld >= kWindowsHeldBeforeProbe ||
+  if (WindowsHeld >= HeldBeforeProbe ||
       WindowsSinceProbe >= kWindowsBetweenProbes) {
     startCut(kProbeFactor, Phase::Probe);
     return;
