Add the membership module: member table and SWIM gossip

Cause: daemons find each other, notice silent peers and learn of planned stops without a list of backend servers or a coordination service.

Change: MemberTable holds the merge rule, the retention of dead members, view digests and the choice of log readers. GossipProtocol is SWIM over datagrams with local health awareness, urgent pushes for leaving members and for log offsets, digest comparison as repair, and contacts to dead members so that the halves of a partition find each other again.

--- /dev/null
+++ b/src/membership/gossipprotocol.h
@@ -0,0 +1,134 @@
+#ifndef JACKDAW_MEMBERSHIP_GOSSIPPROTOCOL_H
+#define JACKDAW_MEMBERSHIP_GOSSIPPROTOCOL_H
+
+#include "base/clock.h"
+#include "membership/datagram.h"
+#include "membership/member.h"
+#include "membership/membertable.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace membership {
+
+/// What a daemon knows at its start.
+struct GossipSettings {
+  /// The daemon's own record, alive, with state version 0. It must satisfy
+  /// `isEncodable`.
+  Member Self;
+  /// Peers to contact first.
+  std::vector<base::PeerAddress> Seeds;
+  /// Seed of all random choices.
+  std::uint64_t RandomSeed = 0;
+};
+
+/// A datagram that the caller must send.
+struct Outgoing {
+  base::PeerAddress To;
+  Datagram Message;
+};
+
+/// A peer from which missing log records can be fetched.
+struct OffsetSource {
+  base::LogOffset Offset;
+  base::ProcessId Process;
+  base::PeerAddress Peer;
+};
+
+/// Totals since the start.
+struct GossipCounters {
+  std::uint64_t DatagramsSent = 0;
+  /// Encoded bytes, without sealing and UDP/IP headers.
+  std::uint64_t BytesSent = 0;
+  std::uint64_t DatagramsReceived = 0;
+  std::uint64_t ProbesSent = 0;
+  std::uint64_t ProbesFailed = 0;
+  /// Members that this daemon itself began to suspect.
+  std::uint64_t Suspicions = 0;
+  /// Members that this daemon itself declared dead.
+  std::uint64_t Deaths = 0;
+  /// Claims about itself that this daemon refuted.
+  std::uint64_t Refutations = 0;
+  std::uint64_t UrgentPushes = 0;
+  std::uint64_t SyncRequests = 0;
+  std::uint64_t SyncReplies = 0;
+  /// Times the process noticed that it had not run for a while.
+  std::uint64_t Freezes = 0;
+};
+
+/// SWIM membership over datagrams. It does no I/O: `receive` and `tick` return
+/// the datagrams to send. Times come from `base::Clock::now`. Not thread-safe.
+///
+/// Timers run on the time during which the process itself ran: a gap between
+/// ticks counts as at most `kMaxTickGap`, so a process that was frozen does not
+/// take its own pause for the silence of others.
+class GossipProtocol {
+public:
+  /// Gap between ticks from which on the process counts as frozen.
+  static constexpr base::Duration kMaxTickGap = std::chrono::milliseconds(500);
+
+  GossipProtocol(GossipSettings Settings, base::BootTime Now);
+  ~GossipProtocol();
+
+  /// Runs due timers; call it about every 10 ms.
+  [[nodiscard]] std::vector<Outgoing> tick(base::BootTime Now);
+
+  /// Handles a datagram that came from the address `From`.
+  [[nodiscard]] std::vector<Outgoing> receive(const Datagram &Message,
+                                              const base::PeerAddress &From,
+                                              base::BootTime Now);
+
+  /// Announces that this daemon drains or has stopped. States only move
+  /// forward; any other change is ignored.
+  [[nodiscard]] std::vector<Outgoing> changeOwnState(MemberState State);
+
+  /// Records that this daemon applied the log up to `Offset`; news of it goes
+  /// to three random members at once.
+  [[nodiscard]] std::vector<Outgoing> setAppliedOffset(base::LogOffset Offset);
+
+  /// Takes a member that was announced in the log. An unknown one is contacted
+  /// and becomes a member when it answers, because the log also holds members
+  /// that have died without a word.
+  void mergeAnnounced(const Member &Announced);
+
+  /// Records that connections to the process are silent. It is unusable at
+  /// once, until a datagram from it arrives, and it is probed next.
+  void reportSilent(const base::ProcessId &Process);
+
+  const MemberTable &members() const;
+
+  /// This daemon's own record.
+  const Member &self() const;
+
+  /// Whether routing may choose the process now.
+  bool isUsable(const base::ProcessId &Process) const;
+
+  /// The daemons of a data centre that read the platform log.
+  std::vector<Member> logReaders(const base::DataCentreId &DataCentre) const;
+
+  /// The usable member with the highest applied offset, if it is above this
+  /// daemon's own.
+  std::optional<OffsetSource> newerOffset() const;
+
+  /// Instances whose entry changed, appeared or disappeared since the last
+  /// call.
+  std::vector<base::InstanceId> takeChanges();
+
+  /// Whether a newer process of this instance exists; this one must stop.
+  bool isSuperseded() const;
+
+  /// Local health from 0 (good) to 7; probe timeouts grow with it.
+  unsigned localHealth() const;
+
+  const GossipCounters &counters() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace membership
+
+#endif // JACKDAW_MEMBERSHIP_GOSSIPPROTOCOL_H
--- /dev/null
+++ b/src/membership/internal/contactlist.cpp
@@ -0,0 +1,102 @@
+#include "membership/internal/contactlist.h"
+
+#include <utility>
+
+namespace membership {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Pace of first contacts to announced members.
+constexpr base::Duration kFreshPeriod = 100ms;
+
+// Pace while no other member is known, and otherwise. With 2,400 daemons every
+// dead member is contacted by some daemon far more often.
+constexpr base::Duration kAlonePeriod = 500ms;
+constexpr base::Duration kContactPeriod = 10s;
+
+// Bound on announced members remembered; the log holds no more than this.
+constexpr std::size_t kMaxAnnounced = 16384;
+
+} // namespace
+
+void ContactList::addAnnounced(const Member &Record) {
+  if (Record.Instance == Core.Settings.Self.Instance)
+    return;
+  const auto Found = Announced.find(Record.Instance);
+  const bool New = Found == Announced.end();
+  if (!New && !supersedes(claimOf(Record), claimOf(Found->second)))
+    return;
+  if (!isPresent(Record.State)) {
+    if (!New)
+      Announced.erase(Found);
+    return;
+  }
+  if (New && Announced.size() >= kMaxAnnounced)
+    return;
+  Announced[Record.Instance] = Record;
+  Fresh.push_back(Record.Instance);
+}
+
+void ContactList::tick() {
+  if (Core.Now >= NextFresh && contactFresh())
+    NextFresh = Core.Now + kFreshPeriod;
+  if (Core.Now < NextAny)
+    return;
+  const bool Alone = Core.Table.presentCount() <= 1;
+  NextAny = Core.Now + (Alone ? kAlonePeriod : kContactPeriod);
+  pruneAnnounced();
+  contactAny();
+}
+
+void ContactList::pruneAnnounced() {
+  std::erase_if(Announced, [this](const auto &Item) {
+    const MemberEntry *Entry = Core.Table.find(Item.first);
+    return Entry && !supersedes(claimOf(Item.second), claimOf(Entry->Record));
+  });
+}
+
+bool ContactList::contactFresh() {
+  while (!Fresh.empty()) {
+    const base::InstanceId Instance = Fresh.back();
+    Fresh.pop_back();
+    const auto Found = Announced.find(Instance);
+    const MemberEntry *Entry = Core.Table.find(Instance);
+    if (Found == Announced.end() ||
+        (Entry && Entry->Record.Epoch >= Found->second.Epoch))
+      continue;
+    ping(Found->second.Peer, Instance);
+    return true;
+  }
+  return false;
+}
+
+void ContactList::contactAny() {
+  std::vector<std::pair<base::PeerAddress, base::InstanceId>> All;
+  for (const base::PeerAddress &Seed : Core.Settings.Seeds)
+    if (Seed != Core.Settings.Self.Peer)
+      All.emplace_back(Seed, base::InstanceId());
+  for (const auto &[Instance, Record] : Announced)
+    All.emplace_back(Record.Peer, Instance);
+  for (const auto &[Instance, Last] : Core.Table.tombstones())
+    if (Last.Claim.State == MemberState::Dead)
+      All.emplace_back(Last.Peer, Instance);
+  for (const MemberEntry &Entry : Core.Table.entries())
+    if (Entry.Record.State == MemberState::Dead)
+      All.emplace_back(Entry.Record.Peer, Entry.Record.Instance);
+  if (All.empty())
+    return;
+  const auto &[Peer, Instance] = All[Core.randomBelow(All.size())];
+  ping(Peer, Instance);
+}
+
+void ContactList::ping(const base::PeerAddress &To,
+                       const base::InstanceId &Instance) {
+  Datagram Message = Core.make(DatagramKind::Ping, ++Core.LastSequence);
+  Message.Records.push_back(Core.self());
+  Message.WantRecord = true;
+  Core.send(std::move(Message), To, Instance);
+}
+
+} // namespace membership
--- /dev/null
+++ b/src/membership/internal/datagram.cpp
@@ -0,0 +1,257 @@
+#include "membership/datagram.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace membership {
+
+namespace {
+
+// Kind, sequence, applied offset, view digest, flags, and the two list lengths.
+constexpr std::size_t kFixedHeaderBytes = 1 + 4 + 8 + 8 + 1 + 1 + 1;
+
+// The portable archive starts with one byte for the byte order.
+constexpr std::size_t kArchiveBytes = 1;
+
+constexpr std::size_t kMaxListLength = 255;
+
+enum Flag : std::uint8_t { WantRecord = 1, HasTarget = 2, HasBuckets = 4 };
+constexpr std::uint8_t kAllFlags = WantRecord | HasTarget | HasBuckets;
+
+std::size_t textSize(const std::string &Text) {
+  return 1 + std::min(Text.size(), kMaxNameBytes);
+}
+
+std::size_t targetSize(const Datagram &Message) {
+  if (Message.TargetProcess.Instance.empty())
+    return 0;
+  return textSize(Message.TargetProcess.Instance.str()) + 8 +
+         textSize(Message.TargetPeer.Ip) + 2;
+}
+
+// The administration API usually listens on the same IP number as the peer
+// port, in which case an empty text stands for it.
+std::string administrationIp(const Member &Record) {
+  return Record.Administration.Ip == Record.Peer.Ip ? std::string()
+                                                    : Record.Administration.Ip;
+}
+
+class Writer {
+public:
+  template <typename... Values> void numbers(const Values &...All) {
+    Archive(All...);
+  }
+  void text(const std::string &Text) {
+    const auto Length = std::uint8_t(std::min(Text.size(), kMaxNameBytes));
+    Archive(Length);
+    Archive.saveBinary<1>(Text.data(), Length);
+  }
+  void claim(const StateClaim &Claim) {
+    text(Claim.Process.Instance.str());
+    numbers(Claim.Process.Epoch.value(), Claim.StateVersion,
+            std::uint8_t(Claim.State));
+  }
+  void record(const Member &Record) {
+    claim(claimOf(Record));
+    text(Record.DataCentre.str());
+    text(Record.Region.str());
+    text(Record.Service.str());
+    text(Record.Peer.Ip);
+    text(administrationIp(Record));
+    numbers(Record.Peer.Port, Record.Administration.Port,
+            Record.AppliedOffset.value(), Record.Slots);
+  }
+  std::string take() { return std::move(Stream).str(); }
+
+private:
+  std::ostringstream Stream;
+  cereal::PortableBinaryOutputArchive Archive{Stream};
+};
+
+// Throws cereal::Exception when the bytes end early.
+class Reader {
+public:
+  explicit Reader(std::string_view Bytes) : Stream(std::string(Bytes)) {}
+
+  template <typename Number> Number number() {
+    Number Value{};
+    Archive(Value);
+    return Value;
+  }
+  template <typename Enum> Enum enumerator(std::uint8_t Count) {
+    const auto Value = number<std::uint8_t>();
+    if (Value >= Count)
+      throw cereal::Exception("value out of range");
+    return static_cast<Enum>(Value);
+  }
+  std::string text() {
+    const auto Length = number<std::uint8_t>();
+    if (Length > kMaxNameBytes)
+      throw cereal::Exception("text too long");
+    std::string Result(Length, '\0');
+    Archive.loadBinary<1>(Result.data(), Length);
+    return Result;
+  }
+  StateClaim claim() {
+    StateClaim Result;
+    Result.Process.Instance = base::InstanceId(text());
+    Result.Process.Epoch = base::Incarnation(number<std::uint64_t>());
+    Result.StateVersion = number<std::uint32_t>();
+    Result.State = enumerator<MemberState>(kMemberStateCount);
+    return Result;
+  }
+  Member record() {
+    const StateClaim Claim = claim();
+    Member Result;
+    Result.Instance = Claim.Process.Instance;
+    Result.Epoch = Claim.Process.Epoch;
+    Result.StateVersion = Claim.StateVersion;
+    Result.State = Claim.State;
+    Result.DataCentre = base::DataCentreId(text());
+    Result.Region = base::RegionId(text());
+    Result.Service = base::ServiceName(text());
+    Result.Peer.Ip = text();
+    Result.Administration.Ip = text();
+    if (Result.Administration.Ip.empty())
+      Result.Administration.Ip = Result.Peer.Ip;
+    Result.Peer.Port = number<std::uint16_t>();
+    Result.Administration.Port = number<std::uint16_t>();
+    Result.AppliedOffset = base::LogOffset(number<std::uint64_t>());
+    Result.Slots = number<std::uint32_t>();
+    return Result;
+  }
+  bool atEnd() {
+    return Stream.peek() == std::istringstream::traits_type::eof();
+  }
+
+private:
+  std::istringstream Stream;
+  cereal::PortableBinaryInputArchive Archive{Stream};
+};
+
+std::uint8_t flagsOf(const Datagram &Message) {
+  std::uint8_t Flags = 0;
+  if (Message.WantRecord)
+    Flags |= WantRecord;
+  if (!Message.TargetProcess.Instance.empty())
+    Flags |= HasTarget;
+  if (Message.Buckets)
+    Flags |= HasBuckets;
+  return Flags;
+}
+
+void readOptionalParts(Reader &In, std::uint8_t Flags, Datagram &Message) {
+  Message.WantRecord = Flags & WantRecord;
+  if (Flags & HasTarget) {
+    Message.TargetProcess.Instance = base::InstanceId(In.text());
+    Message.TargetProcess.Epoch = base::Incarnation(In.number<std::uint64_t>());
+    Message.TargetPeer.Ip = In.text();
+    Message.TargetPeer.Port = In.number<std::uint16_t>();
+    if (Message.TargetProcess.Instance.empty())
+      throw cereal::Exception("target without a name");
+  }
+  if (Flags & HasBuckets) {
+    Message.Buckets.emplace();
+    for (std::uint32_t &Bucket : *Message.Buckets)
+      Bucket = In.number<std::uint32_t>();
+  }
+}
+
+Datagram readDatagram(Reader &In) {
+  Datagram Message;
+  Message.Kind = In.enumerator<DatagramKind>(kDatagramKindCount);
+  Message.Sequence = In.number<std::uint32_t>();
+  Message.Sender = In.claim();
+  Message.AppliedOffset = base::LogOffset(In.number<std::uint64_t>());
+  Message.ViewDigest = In.number<std::uint64_t>();
+  const auto Flags = In.number<std::uint8_t>();
+  if (Flags & ~kAllFlags)
+    throw cereal::Exception("unknown flag");
+  readOptionalParts(In, Flags, Message);
+  const auto Claims = In.number<std::uint8_t>();
+  for (unsigned Index = 0; Index < Claims; ++Index)
+    Message.Claims.push_back(In.claim());
+  const auto Records = In.number<std::uint8_t>();
+  for (unsigned Index = 0; Index < Records; ++Index)
+    Message.Records.push_back(In.record());
+  return Message;
+}
+
+} // namespace
+
+std::size_t encodedSize(const StateClaim &Claim) {
+  return textSize(Claim.Process.Instance.str()) + 8 + 4 + 1;
+}
+
+std::size_t encodedSize(const Member &Record) {
+  return encodedSize(claimOf(Record)) + textSize(Record.DataCentre.str()) +
+         textSize(Record.Region.str()) + textSize(Record.Service.str()) +
+         textSize(Record.Peer.Ip) + textSize(administrationIp(Record)) + 2 + 2 +
+         8 + 4;
+}
+
+std::size_t encodedSize(const Datagram &Message) {
+  std::size_t Size = kArchiveBytes + kFixedHeaderBytes +
+                     encodedSize(Message.Sender) + targetSize(Message);
+  if (Message.Buckets)
+    Size += sizeof(BucketDigests);
+  for (const StateClaim &Claim : Message.Claims)
+    Size += encodedSize(Claim);
+  for (const Member &Record : Message.Records)
+    Size += encodedSize(Record);
+  return Size;
+}
+
+bool isEncodable(const Member &Record) {
+  const auto Fits = [](const std::string &Text) {
+    return Text.size() <= kMaxNameBytes;
+  };
+  return !Record.Instance.empty() && Fits(Record.Instance.str()) &&
+         Fits(Record.DataCentre.str()) && Fits(Record.Region.str()) &&
+         Fits(Record.Service.str()) && Fits(Record.Peer.Ip) &&
+         Fits(Record.Administration.Ip);
+}
+
+std::string encode(const Datagram &Message) {
+  Writer Out;
+  Out.numbers(std::uint8_t(Message.Kind), Message.Sequence);
+  Out.claim(Message.Sender);
+  Out.numbers(Message.AppliedOffset.value(), Message.ViewDigest,
+              flagsOf(Message));
+  if (!Message.TargetProcess.Instance.empty()) {
+    Out.text(Message.TargetProcess.Instance.str());
+    Out.numbers(Message.TargetProcess.Epoch.value());
+    Out.text(Message.TargetPeer.Ip);
+    Out.numbers(Message.TargetPeer.Port);
+  }
+  if (Message.Buckets)
+    for (const std::uint32_t Bucket : *Message.Buckets)
+      Out.numbers(Bucket);
+  const std::size_t Claims = std::min(Message.Claims.size(), kMaxListLength);
+  Out.numbers(std::uint8_t(Claims));
+  for (std::size_t Index = 0; Index < Claims; ++Index)
+    Out.claim(Message.Claims[Index]);
+  const std::size_t Records = std::min(Message.Records.size(), kMaxListLength);
+  Out.numbers(std::uint8_t(Records));
+  for (std::size_t Index = 0; Index < Records; ++Index)
+    Out.record(Message.Records[Index]);
+  return Out.take();
+}
+
+std::optional<Datagram> decode(std::string_view Bytes) {
+  if (Bytes.size() > kMaxEncodedBytes)
+    return std::nullopt;
+  try {
+    Reader In(Bytes);
+    Datagram Message = readDatagram(In);
+    if (!In.atEnd())
+      return std::nullopt;
+    return Message;
+  } catch (const cereal::Exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace membership
--- /dev/null
+++ b/src/membership/internal/suspicions.cpp
@@ -0,0 +1,62 @@
+#include "membership/internal/suspicions.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace membership {
+
+namespace {
+
+// Per power of ten of the number of members: a claim reaches the suspected
+// member within about that many seconds, and the refutation returns faster.
+constexpr base::Duration kSuspicionTimeout = std::chrono::seconds(4);
+
+} // namespace
+
+base::Duration Suspicions::timeout() const {
+  const double Size = double(Core.Table.presentCount()) + 1;
+  const double Factor = std::max(1.0, std::log10(Size));
+  const auto Timeout =
+      std::chrono::duration<double>(kSuspicionTimeout) * Factor;
+  return Core.Health.scale(std::chrono::duration_cast<base::Duration>(Timeout));
+}
+
+void Suspicions::start(const StateClaim &Claim) {
+  const base::InstanceId &Instance = Claim.Process.Instance;
+  const auto Found = Timers.find(Instance);
+  if (Found != Timers.end() && Found->second.Claim == Claim)
+    return;
+  stop(Instance);
+  const base::BootTime Deadline = Core.Now + timeout();
+  Timers[Instance] = {Claim, Deadline};
+  Deadlines.emplace(Deadline, Instance);
+}
+
+void Suspicions::stop(const base::InstanceId &Instance) {
+  const auto Found = Timers.find(Instance);
+  if (Found == Timers.end())
+    return;
+  Deadlines.erase({Found->second.Deadline, Instance});
+  Timers.erase(Found);
+}
+
+std::vector<StateClaim> Suspicions::takeExpired() {
+  std::vector<StateClaim> Result;
+  while (!Deadlines.empty() && Deadlines.begin()->first <= Core.Now) {
+    const base::InstanceId Instance = Deadlines.begin()->second;
+    StateClaim Claim = Timers.at(Instance).Claim;
+    stop(Instance);
+    const MemberEntry *Entry = Core.Table.find(Instance);
+    if (!Entry || claimOf(Entry->Record) != Claim)
+      continue;
+    // A draining member is not told of the suspicion and so cannot refute it;
+    // having heard from it is enough.
+    if (Claim.State == MemberState::Draining && !Entry->Silent)
+      continue;
+    Claim.State = MemberState::Dead;
+    Result.push_back(Claim);
+  }
+  return Result;
+}
+
+} // namespace membership
--- /dev/null
+++ b/src/membership/membertable.h
@@ -0,0 +1,143 @@
+#ifndef JACKDAW_MEMBERSHIP_MEMBERTABLE_H
+#define JACKDAW_MEMBERSHIP_MEMBERTABLE_H
+
+#include "base/clock.h"
+#include "membership/member.h"
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace membership {
+
+/// How long a dead or stopped member is kept before it is forgotten.
+inline constexpr base::Duration kMemberRetention = std::chrono::minutes(10);
+
+/// How long the last claim about a forgotten process is kept, so that a late
+/// message does not bring it back.
+inline constexpr base::Duration kTombstoneRetention = std::chrono::hours(24);
+
+/// Bound on the number of forgotten processes remembered.
+inline constexpr std::size_t kMaxTombstones = 4096;
+
+/// Groups of members whose digests two daemons compare.
+inline constexpr std::size_t kDigestBuckets = 128;
+
+using BucketDigests = std::array<std::uint32_t, kDigestBuckets>;
+
+/// A member and what this daemon observed of it.
+struct MemberEntry {
+  Member Record;
+  /// Stable hash of the instance name.
+  std::uint64_t NameHash = 0;
+  base::BootTime StateSince;
+  /// This daemon got no answer from the process and has not heard from it
+  /// since.
+  bool Silent = false;
+};
+
+/// A process that was forgotten.
+struct Tombstone {
+  StateClaim Claim;
+  base::PeerAddress Peer;
+  base::BootTime Since;
+};
+
+/// Effect of a merge on the table.
+enum class MergeResult : std::uint8_t { Ignored, Unknown, Changed, Added };
+
+/// All known members, one entry for each instance. Not thread-safe.
+class MemberTable {
+public:
+  /// Merges a whole record.
+  MergeResult merge(const Member &Incoming, base::BootTime Now);
+
+  /// Merges a claim; `Unknown` if no process of that instance and incarnation
+  /// is in the table and the claim is not older than what is.
+  MergeResult merge(const StateClaim &Incoming, base::BootTime Now);
+
+  /// The entry of `Instance`, or null. Valid until the next change.
+  const MemberEntry *find(const base::InstanceId &Instance) const;
+
+  const std::vector<MemberEntry> &entries() const { return Entries; }
+
+  /// Members that are alive, suspect or draining.
+  std::size_t presentCount() const { return Present; }
+
+  /// Whether routing may use the process: alive and not silent.
+  bool isUsable(const base::ProcessId &Process) const;
+
+  /// Records that this daemon stopped hearing from a process, or hears from it
+  /// again.
+  void setSilent(const base::ProcessId &Process, bool Silent);
+
+  /// Raises the applied offset known of a process.
+  void noteOffset(const base::ProcessId &Process, base::LogOffset Offset);
+
+  /// The highest applied offset ever known of any process.
+  base::LogOffset highestOffset() const { return HighestOffset; }
+
+  /// Forgets members that have been dead or stopped for `kMemberRetention` and
+  /// drops old tombstones. Returns the instances forgotten.
+  std::vector<base::InstanceId> forgetOld(base::BootTime Now);
+
+  /// The last claim about a forgotten process.
+  const Tombstone *tombstone(const base::InstanceId &Instance) const;
+
+  /// All forgotten processes, for attempts to reach them again.
+  const std::unordered_map<base::InstanceId, Tombstone> &tombstones() const {
+    return Forgotten;
+  }
+
+  /// Digest over all members that are present: equal in two daemons if their
+  /// views are equal.
+  std::uint64_t digest() const { return Digest; }
+
+  /// The same by bucket.
+  const BucketDigests &bucketDigests() const { return Buckets; }
+
+  /// Bucket of an entry.
+  static std::size_t bucketOf(const MemberEntry &Entry) {
+    return Entry.NameHash % kDigestBuckets;
+  }
+
+  /// The two usable members of the data centre with the lowest rendezvous hash;
+  /// they read the platform log. Fewer if there are fewer.
+  std::vector<Member> logReaders(const base::DataCentreId &DataCentre) const;
+
+  /// Instances whose entry changed, appeared or disappeared since the last
+  /// call, each once.
+  std::vector<base::InstanceId> takeChanges();
+
+  /// Estimate of the heap memory in use, in bytes.
+  std::size_t memoryBytes() const;
+
+private:
+  MergeResult store(std::size_t Index, const Member &Record,
+                    base::BootTime Now);
+  MergeResult add(const Member &Record, base::BootTime Now);
+  void setState(MemberEntry &Entry, const StateClaim &Claim,
+                base::BootTime Now);
+  Member resolveAddress(const Member &Record, base::BootTime Now);
+  void toggleDigest(const MemberEntry &Entry);
+  void remove(std::size_t Index, base::BootTime Now);
+  void dropTombstones(base::BootTime Now);
+
+  std::vector<MemberEntry> Entries;
+  std::unordered_map<base::InstanceId, std::size_t> ByInstance;
+  std::map<base::PeerAddress, base::InstanceId> ByAddress;
+  std::unordered_map<base::InstanceId, Tombstone> Forgotten;
+  std::unordered_set<base::InstanceId> Changes;
+  BucketDigests Buckets{};
+  std::uint64_t Digest = 0;
+  std::size_t Present = 0;
+  base::LogOffset HighestOffset;
+};
+
+} // namespace membership
+
+#endif // JACKDAW_MEMBERSHIP_MEMBERTABLE_H
--- /dev/null
+++ b/src/membership/tests/gossiptest.cpp
@@ -0,0 +1,136 @@
+#include "membership/tests/fakenetwork.h"
+
+#include <algorithm>
+
+using namespace membership;
+using namespace membership::tests;
+
+TEST_CASE("daemons that know only seeds find each other") {
+  FakeNetwork Net(1, 24);
+  Net.run(15s);
+  CHECK(Net.converged());
+}
+
+TEST_CASE("a daemon without seeds joins through members announced in the log, "
+          "and announced members that no longer exist stay unusable") {
+  FakeNetwork Net(2, 12);
+  Net.run(15s);
+  Net.kill(11);
+  Net.Nodes[10].Record.Epoch = base::Incarnation(2000);
+  Net.Nodes[10].Protocol = std::make_unique<GossipProtocol>(
+      GossipSettings{Net.Nodes[10].Record, {}, 5}, Net.Clock.now());
+  GossipProtocol &Joiner = *Net.Nodes[10].Protocol;
+  Joiner.mergeAnnounced(Net.Nodes[11].Record);
+  Joiner.mergeAnnounced(Net.Nodes[4].Record);
+  CHECK_FALSE(Joiner.isUsable(Net.Nodes[11].Record.process()));
+  Net.run(30s);
+  CHECK(Net.converged());
+  CHECK(Joiner.isUsable(Net.Nodes[4].Record.process()));
+  CHECK_FALSE(Joiner.isUsable(Net.Nodes[11].Record.process()));
+}
+
+TEST_CASE("draining and stopping reach every daemon in under two seconds, also "
+          "under loss") {
+  FakeNetwork Net(3, 40);
+  Net.run(20s);
+  REQUIRE(Net.converged());
+  Net.Loss = 0.1;
+  std::size_t Node = 5;
+  for (const MemberState State :
+       {MemberState::Draining, MemberState::Stopped}) {
+    Net.announce(Node, State);
+    Net.run(1900ms);
+    for (std::size_t By = 0; By < Net.Nodes.size(); ++By)
+      CHECK(Net.viewOf(By, Node) == State);
+  }
+  const base::ProcessId Process = Net.Nodes[Node].Record.process();
+  CHECK_FALSE(Net.Nodes[0].Protocol->isUsable(Process));
+}
+
+TEST_CASE("a killed member is unusable, then dead, everywhere") {
+  FakeNetwork Net(4, 24);
+  Net.run(15s);
+  const base::ProcessId Process = Net.Nodes[7].Record.process();
+  Net.kill(7);
+  Net.Nodes[3].Protocol->reportSilent(Process);
+  CHECK_FALSE(Net.Nodes[3].Protocol->isUsable(Process));
+  Net.run(5s);
+  for (std::size_t By = 0; By < Net.Nodes.size(); ++By)
+    if (Net.runs(By))
+      CHECK_FALSE(Net.Nodes[By].Protocol->isUsable(Process));
+  Net.run(15s);
+  CHECK(Net.converged());
+  CHECK(Net.viewOf(3, 7) == MemberState::Dead);
+  Net.run(kMemberRetention + 20s);
+  CHECK(Net.Nodes[3].Protocol->members().find(Process.Instance) == nullptr);
+  Net.start(7);
+  Net.run(10s);
+  CHECK(Net.converged());
+}
+
+TEST_CASE("a process that resumes after a pause declares nobody dead and is "
+          "alive again soon") {
+  FakeNetwork Net(5, 24);
+  Net.run(15s);
+  GossipProtocol &Frozen = *Net.Nodes[9].Protocol;
+  Net.Nodes[9].Frozen = true;
+  Net.run(60s);
+  CHECK(Net.viewOf(0, 9) == MemberState::Dead);
+  Net.Nodes[9].Frozen = false;
+  Net.run(1ms);
+  CHECK(Frozen.localHealth() > 0);
+  Net.run(15s);
+  CHECK(Frozen.counters().Freezes >= 1);
+  CHECK(Frozen.counters().Deaths == 0);
+  CHECK(Frozen.counters().Suspicions == 0);
+  CHECK(Net.converged());
+  CHECK(Net.viewOf(0, 9) == MemberState::Alive);
+}
+
+TEST_CASE("both halves of a partition longer than the retention find each "
+          "other again") {
+  FakeNetwork Net(6, 18);
+  Net.run(15s);
+  Net.Cuts = {{base::DataCentreId("dc0"), base::DataCentreId("dc2")},
+              {base::DataCentreId("dc1"), base::DataCentreId("dc2")}};
+  Net.run(kMemberRetention + 60s);
+  CHECK(Net.Nodes[0].Protocol->members().presentCount() == 12);
+  CHECK(Net.Nodes[2].Protocol->members().presentCount() == 6);
+  Net.Cuts.clear();
+  Net.run(40s);
+  CHECK(Net.converged());
+}
+
+TEST_CASE("news of a log offset reaches every daemon within two seconds") {
+  FakeNetwork Net(7, 40);
+  Net.run(20s);
+  const base::LogOffset News(42);
+  Net.send(0, Net.Nodes[0].Protocol->setAppliedOffset(News));
+  // Each daemon fetches the records at once, as the caller of the protocol
+  // does.
+  Net.run(2s, [&] {
+    for (std::size_t Node = 0; Node < Net.Nodes.size(); ++Node)
+      if (const auto Source = Net.Nodes[Node].Protocol->newerOffset())
+        Net.send(Node,
+                 Net.Nodes[Node].Protocol->setAppliedOffset(Source->Offset));
+  });
+  for (std::size_t Node = 0; Node < Net.Nodes.size(); ++Node)
+    CHECK(Net.Nodes[Node].Protocol->self().AppliedOffset == News);
+}
+
+TEST_CASE("an old process learns that a newer one of its instance exists") {
+  FakeNetwork Net(8, 6);
+  Net.run(10s);
+  Member Newer = Net.Nodes[3].Record;
+  Newer.Epoch = base::Incarnation(5000);
+  Newer.Peer.Port = 7100;
+  Datagram Message;
+  Message.Kind = DatagramKind::Push;
+  Message.Sender = claimOf(Newer);
+  Message.Records.push_back(Newer);
+  Net.send(
+      0, Net.Nodes[0].Protocol->receive(Message, Newer.Peer, Net.Clock.now()));
+  CHECK_FALSE(Net.Nodes[3].Protocol->isSuperseded());
+  Net.run(5s);
+  CHECK(Net.Nodes[3].Protocol->isSuperseded());
+}
