--- /dev/null
+++ b/src/platformlog/codec.h
@@ -0,0 +1,41 @@
+#ifndef JACKDAW_PLATFORMLOG_CODEC_H
+#define JACKDAW_PLATFORMLOG_CODEC_H
+
+#include "platformlog/boundedarchive.h"
+
+#include <exception>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace platformlog {
+
+/// The value in cereal's portable binary form.
+template <typename T> std::string encode(const T &Value) {
+  std::ostringstream Stream;
+  {
+    cereal::PortableBinaryOutputArchive Archive(Stream);
+    Archive(Value);
+  }
+  return std::move(Stream).str();
+}
+
+/// The value in `Bytes`, which may come from anywhere; nothing if they are not
+/// exactly one encoded value.
+template <typename T> std::optional<T> decode(std::string_view Bytes) {
+  try {
+    BoundedInputArchive Archive(Bytes);
+    std::optional<T> Value(std::in_place);
+    Archive(*Value);
+    if (Archive.left() != 0)
+      return std::nullopt;
+    return Value;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace platformlog
+
+#endif // JACKDAW_PLATFORMLOG_CODEC_H
--- /dev/null
+++ b/src/platformlog/internal/fleetrecord.cpp
@@ -0,0 +1,13 @@
+#include "platformlog/fleetrecord.h"
+
+namespace platformlog {
+
+std::optional<FleetRecord> decodeRecord(std::string_view Bytes) {
+  auto Record = decode<FleetRecord>(Bytes);
+  if (!Record || Record->Kind < RecordKind::Snapshot ||
+      Record->Kind > RecordKind::Announce)
+    return std::nullopt;
+  return Record;
+}
+
+} // namespace platformlog
--- /dev/null
+++ b/src/platformlog/tests/allocations.cpp
@@ -0,0 +1,23 @@
+#include "platformlog/tests/allocations.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+std::atomic<std::size_t> Total{0};
+
+} // namespace
+
+std::size_t allocatedBytes() { return Total; }
+
+void *operator new(std::size_t Size) {
+  Total += Size;
+  if (void *Memory = std::malloc(Size))
+    return Memory;
+  throw std::bad_alloc();
+}
+
+void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
