publish: publisher library, jackdaw-publish and fault tests

Cause: operators drive the system only through service files, and a lost append response must neither hide a change nor publish it twice. An append is repeated only if the log has certainly not taken it.

--- a/src/config/tests/servicefiletest.cpp
+++ b/src/config/tests/servicefiletest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <random>
 
 using namespace config;
 using namespace config::examples;
@@ -130,3 +131,32 @@
     }
   }
 }
+
+TEST_CASE("the parser survives random changes of valid files and either "
+          "returns a value or errors") {
+  std::mt19937 Random(20260102);
+  const std::string Pieces[] = {
+      "[", "]",     "[[", "\"",   "\n", "=",   "{",           "}",
+      ".", "1e999", "-",  "\xff", "0x", "nan", "[[route]]\n", "rate = 1\n"};
+  std::size_t Valid = 0;
+  for (int Round = 0; Round < 20000; ++Round) {
+    const bool Fleet = Round % 4 == 0;
+    std::string Text = Fleet ? fleetText() : serviceText();
+    for (unsigned Change = Random() % 4 + 1; Change > 0; --Change) {
+      const std::size_t At = Random() % Text.size();
+      if (Random() % 2 == 0)
+        Text[At] = static_cast<char>(Random() % (Round % 2 == 0 ? 256 : 128));
+      else
+        Text.insert(At, Pieces[Random() % std::size(Pieces)]);
+    }
+    if (Fleet) {
+      const auto Parsed = parseFleetFile("fleet.toml", Text);
+      CHECK(Parsed.Value.has_value() == Parsed.Errors.empty());
+    } else {
+      const auto Parsed = parseServiceFile("orders.toml", Text);
+      CHECK(Parsed.Value.has_value() == Parsed.Errors.empty());
+      Valid += Parsed.Value ? 1 : 0;
+    }
+  }
+  CHECK(Valid > 100);
+}
--- /dev/null
+++ b/src/publish/internal/publisher.cpp
@@ -0,0 +1,222 @@
+#include "publish/publisher.h"
+
+#include "config/servicefile.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace publish {
+
+namespace {
+
+using namespace std::chrono_literals;
+using platformlog::LogError;
+using platformlog::LogErrorKind;
+
+constexpr auto kRetryPause = 100ms;
+constexpr auto kLongPoll = 1000ms;
+
+/// Runs a call to the log; on failure returns nothing and fills `Failure`.
+template <typename T, typename Call>
+std::optional<T> attempt(Call &&Run, LogError &Failure) {
+  return boost::leaf::try_handle_all(
+      [&]() -> base::Result<std::optional<T>> {
+        BOOST_LEAF_AUTO(Value, Run());
+        return std::optional<T>(std::move(Value));
+      },
+      [&](const LogError &Error) {
+        Failure = Error;
+        return std::optional<T>();
+      },
+      [&] {
+        Failure = {LogErrorKind::Unavailable, "the call failed"};
+        return std::optional<T>();
+      });
+}
+
+std::string describe(const LogError &Error) {
+  return std::string(platformlog::logErrorName(Error.Kind)) + ": " +
+         Error.Detail;
+}
+
+PublishOutcome outcomeOf(config::VerdictKind Kind) {
+  switch (Kind) {
+  case config::VerdictKind::Accepted:
+    return PublishOutcome::Accepted;
+  case config::VerdictKind::RejectedVersion:
+    return PublishOutcome::RejectedVersion;
+  case config::VerdictKind::RejectedContent:
+    return PublishOutcome::RejectedContent;
+  }
+  return PublishOutcome::Unknown;
+}
+
+bool awaitsVerdict(const ChangeResult &Result) {
+  return !Result.Verdict && Result.Outcome != PublishOutcome::NotAppended;
+}
+
+std::string rejectionText(const config::Verdict &Verdict) {
+  const std::string First = Verdict.CurrentOperator.empty()
+                                ? "another operator"
+                                : Verdict.CurrentOperator;
+  return "rejected, " + First + " was first with version " +
+         std::to_string(Verdict.CurrentVersion.value());
+}
+
+std::string outcomeText(const ChangeResult &Result) {
+  switch (Result.Outcome) {
+  case PublishOutcome::Accepted:
+    return "accepted as version " + std::to_string(Result.Verdict->At.value());
+  case PublishOutcome::RejectedVersion:
+    return rejectionText(*Result.Verdict);
+  case PublishOutcome::RejectedContent:
+    return "rejected, the content is not valid";
+  case PublishOutcome::Unknown:
+    return "unknown, it may be in force now or later";
+  case PublishOutcome::NotAppended:
+    return "not published";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+std::string ChangeResult::str() const {
+  std::string Line = Change.File + ": " + outcomeText(*this);
+  if (!Verdict && !Detail.empty())
+    Line += " (" + Detail + ")";
+  return Line;
+}
+
+std::chrono::milliseconds Publisher::left(base::BootTime Deadline) const {
+  return std::max(0ms, std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Deadline - Time.now()));
+}
+
+base::Result<void> Publisher::readState() {
+  const base::BootTime Deadline = Time.now() + Settings.Timeout;
+  while (true) {
+    LogError Failure{LogErrorKind::Unavailable,
+                     "the log has forgotten earlier records and holds no "
+                     "snapshot in place of them"};
+    const auto Progress =
+        attempt<ReadProgress>([&] { return Reader.step(0ms); }, Failure);
+    if (Progress == ReadProgress::AtEnd)
+      return {};
+    if (left(Deadline) == 0ms) {
+      if (Progress == ReadProgress::More)
+        Failure.Detail = "the end of the log was not reached in time";
+      return platformlog::fail(Failure.Kind, Failure.Detail);
+    }
+    if (Progress != ReadProgress::More)
+      std::this_thread::sleep_for(kRetryPause);
+  }
+}
+
+config::ConfigChange Publisher::makeChange(const std::string &File) const {
+  config::ConfigChange Change;
+  Change.Id = base::makeRandomId<config::PublishId>();
+  Change.File = File;
+  Change.BaseVersion = state().fileVersion(File);
+  Change.Operator = Settings.Operator;
+  return Change;
+}
+
+bool Publisher::conflicts(const std::string &File) const {
+  return Settings.Since && state().fileVersion(File) > *Settings.Since;
+}
+
+void Publisher::planFile(const std::string &File, const std::string &Content,
+                         Plan &Changes) const {
+  const auto Found = state().files().find(File);
+  const bool InForce = Found != state().files().end() && !Found->second.Removed;
+  if (InForce && Found->second.Content == Content)
+    return;
+  if (conflicts(File)) {
+    Changes.Conflicts.push_back(File);
+    return;
+  }
+  Changes.Changes.push_back(makeChange(File));
+  Changes.Changes.back().Content = Content;
+}
+
+Plan Publisher::plan(const FileMap &Files) const {
+  Plan Changes;
+  Changes.Errors = checkFiles(Files);
+  if (!Changes.Errors.empty())
+    return Changes;
+  for (const auto &[File, Content] : Files)
+    planFile(File, Content, Changes);
+  for (const auto &[File, InForce] : state().files()) {
+    if (InForce.Removed || Files.contains(File))
+      continue;
+    if (!Settings.AllowRemoval) {
+      Changes.Kept.push_back(File);
+    } else if (conflicts(File)) {
+      Changes.Conflicts.push_back(File);
+    } else {
+      Changes.Changes.push_back(makeChange(File));
+      Changes.Changes.back().Removal = true;
+    }
+  }
+  // Service files may name data centres that the fleet file adds.
+  std::stable_partition(
+      Changes.Changes.begin(), Changes.Changes.end(),
+      [](const auto &Change) { return Change.File == config::kFleetFile; });
+  return Changes;
+}
+
+void Publisher::append(ChangeResult &Result, base::BootTime Deadline) {
+  const std::string Record = platformlog::encodeRecord(
+      platformlog::RecordKind::ConfigChange, Result.Change);
+  while (true) {
+    LogError Failure;
+    if (attempt<base::LogOffset>([&] { return Log.append(Record); }, Failure))
+      return;
+    Result.Detail = describe(Failure);
+    if (Failure.Kind != LogErrorKind::Unavailable)
+      return;
+    if (left(Deadline) == 0ms) {
+      Result.Outcome = PublishOutcome::NotAppended;
+      return;
+    }
+    std::this_thread::sleep_for(std::min(left(Deadline), kRetryPause));
+  }
+}
+
+void Publisher::awaitVerdicts(std::vector<ChangeResult> &Results,
+                              base::BootTime Deadline) {
+  while (true) {
+    for (ChangeResult &Result : Results) {
+      if (!awaitsVerdict(Result))
+        continue;
+      Result.Verdict = state().verdictFor(Result.Change.Id);
+      if (Result.Verdict)
+        Result.Outcome = outcomeOf(Result.Verdict->Kind);
+    }
+    if (std::none_of(Results.begin(), Results.end(), awaitsVerdict) ||
+        left(Deadline) == 0ms)
+      return;
+    LogError Failure;
+    const auto Wait = std::min(left(Deadline), kLongPoll);
+    const auto Progress =
+        attempt<ReadProgress>([&] { return Reader.step(Wait); }, Failure);
+    if (!Progress)
+      std::this_thread::sleep_for(std::min(left(Deadline), kRetryPause));
+  }
+}
+
+std::vector<ChangeResult> Publisher::publish(const Plan &Changes) {
+  std::vector<ChangeResult> Results;
+  if (!Changes.Errors.empty() || !Changes.Conflicts.empty())
+    return Results;
+  const base::BootTime Deadline = Time.now() + Settings.Timeout;
+  for (const config::ConfigChange &Change : Changes.Changes) {
+    Results.push_back({Change, PublishOutcome::Unknown, std::nullopt, ""});
+    append(Results.back(), Deadline);
+  }
+  awaitVerdicts(Results, Deadline);
+  return Results;
+}
+
+} // namespace publish
--- /dev/null
+++ b/src/publish/internal/statereader.cpp
@@ -0,0 +1,69 @@
+#include "publish/statereader.h"
+
+#include "platformlog/fleetsnapshot.h"
+
+namespace publish {
+
+namespace {
+
+constexpr std::size_t kPageRecords = 100;
+
+base::LogOffset before(base::LogOffset Offset) {
+  return base::LogOffset(Offset.value() - 1);
+}
+
+} // namespace
+
+base::Result<ReadProgress> StateReader::step(std::chrono::milliseconds Wait) {
+  BOOST_LEAF_AUTO(Page, Log.read(Next, kPageRecords, Wait));
+  if (Page.End < before(Next))
+    return platformlog::fail(
+        platformlog::LogErrorKind::MalformedResponse,
+        "the log ends before a record that was read from it earlier");
+  if (Page.First > Next)
+    noteGap(Page.First);
+  for (const platformlog::LogRecord &Record : Page.Records)
+    takeRecord(Record);
+  if (Next <= Page.End)
+    return ReadProgress::More;
+  return Complete ? ReadProgress::AtEnd : ReadProgress::SnapshotMissing;
+}
+
+void StateReader::noteGap(base::LogOffset First) {
+  Complete = false;
+  Start = First;
+  Next = First;
+  Pending.clear();
+}
+
+void StateReader::takeRecord(const platformlog::LogRecord &Record) {
+  Next = base::LogOffset(Record.Offset.value() + 1);
+  const auto Envelope = platformlog::decodeRecord(Record.Bytes);
+  if (Envelope && Envelope->Kind == platformlog::RecordKind::ConfigChange) {
+    auto Change = platformlog::decode<config::ConfigChange>(Envelope->Payload);
+    if (Change && Complete)
+      State.apply(Record.Offset, *Change);
+    else if (Change)
+      Pending.emplace_back(Record.Offset, std::move(*Change));
+  }
+  if (Envelope && Envelope->Kind == platformlog::RecordKind::Snapshot &&
+      !Complete)
+    takeSnapshot(Envelope->Payload);
+  if (Complete)
+    State.advanceTo(Record.Offset);
+}
+
+void StateReader::takeSnapshot(const std::string &Payload) {
+  auto Snapshot = platformlog::decode<platformlog::FleetSnapshot>(Payload);
+  if (!Snapshot || Snapshot->UpTo < before(Start) || Snapshot->UpTo >= Next)
+    return;
+  Snapshot->Config.advanceTo(Snapshot->UpTo);
+  if (!State.adopt(Snapshot->Config))
+    return;
+  for (const auto &[Offset, Change] : Pending)
+    State.apply(Offset, Change);
+  Pending.clear();
+  Complete = true;
+}
+
+} // namespace publish
--- /dev/null
+++ b/src/publish/main.cpp
@@ -0,0 +1,130 @@
+#include "base/clock.h"
+#include "platformlog/httplogclient.h"
+#include "publish/options.h"
+#include "publish/publisher.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using namespace publish;
+
+ExitStatus printDigest() {
+  std::string Key;
+  std::getline(std::cin, Key);
+  if (Key.ends_with('\r'))
+    Key.pop_back();
+  if (Key.empty()) {
+    std::cerr << "jackdaw-publish: standard input holds no key\n";
+    return ExitStatus::Usage;
+  }
+  std::cout << config::digestKey(Key).str() << "\n";
+  return ExitStatus::Done;
+}
+
+void printErrors(const std::vector<config::FileError> &Errors) {
+  for (const config::FileError &Error : Errors)
+    std::cerr << Error.str() << "\n";
+}
+
+void printPlan(const Plan &Changes, const config::ConfigState &State) {
+  for (const config::ConfigChange &Change : Changes.Changes) {
+    const auto Found = State.files().find(Change.File);
+    const bool New = Found == State.files().end() || Found->second.Removed;
+    std::cout << (Change.Removal ? "remove "
+                  : New          ? "add "
+                                 : "replace ")
+              << Change.File << " (version " << Change.BaseVersion.value()
+              << ")\n"
+              << lineDifference(New ? "" : Found->second.Content,
+                                Change.Content);
+  }
+  for (const std::string &File : Changes.Kept)
+    std::cout << "keep " << File
+              << ", which the directory lacks (see --allow-removal)\n";
+  for (const std::string &File : Changes.Conflicts)
+    std::cerr << File << ": version " << State.fileVersion(File).value()
+              << " of " << State.files().at(File).Operator
+              << " is newer than --since\n";
+}
+
+ExitStatus statusOf(PublishOutcome Outcome) {
+  switch (Outcome) {
+  case PublishOutcome::Accepted:
+    return ExitStatus::Done;
+  case PublishOutcome::RejectedVersion:
+    return ExitStatus::Rejected;
+  case PublishOutcome::RejectedContent:
+    return ExitStatus::FaultyFiles;
+  case PublishOutcome::NotAppended:
+    return ExitStatus::LogUnavailable;
+  case PublishOutcome::Unknown:
+    return ExitStatus::Unknown;
+  }
+  return ExitStatus::Unknown;
+}
+
+bool readState(Publisher &Target) {
+  return boost::leaf::try_handle_all(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(Target.readState());
+        return true;
+      },
+      [](const platformlog::LogError &Error) {
+        std::cerr << "jackdaw-publish: the configuration in force can't be "
+                     "read, nothing was published: "
+                  << platformlog::logErrorName(Error.Kind) << ": "
+                  << Error.Detail << "\n";
+        return false;
+      },
+      [] { return false; });
+}
+
+ExitStatus publishFiles(const Options &Given, const FileMap &Files) {
+  platformlog::HttpLogClient Log({.Url = Given.Log});
+  const base::SystemClock Time;
+  Publisher Target(Log, Time,
+                   {.Timeout = Given.Timeout,
+                    .AllowRemoval = Given.AllowRemoval,
+                    .Operator = Given.Operator,
+                    .Since = Given.Since});
+  if (!readState(Target))
+    return ExitStatus::LogUnavailable;
+  const Plan Changes = Target.plan(Files);
+  printPlan(Changes, Target.state());
+  if (!Changes.Conflicts.empty())
+    return ExitStatus::Rejected;
+  ExitStatus Status = ExitStatus::Done;
+  for (const ChangeResult &Result : Target.publish(Changes)) {
+    std::cout << Result.str() << "\n";
+    Status = std::max(Status, statusOf(Result.Outcome));
+  }
+  std::cout << "configuration version " << Target.state().version().value()
+            << "\n";
+  return Status;
+}
+
+ExitStatus run(const Options &Given) {
+  if (Given.Digest)
+    return printDigest();
+  DirectoryFiles Directory = readDirectory(Given.Files);
+  const auto Faults = checkFiles(Directory.Files);
+  Directory.Errors.insert(Directory.Errors.end(), Faults.begin(), Faults.end());
+  if (!Directory.Errors.empty()) {
+    printErrors(Directory.Errors);
+    return ExitStatus::FaultyFiles;
+  }
+  if (Given.Check) {
+    std::cout << Directory.Files.size() << " files are valid\n";
+    return ExitStatus::Done;
+  }
+  return publishFiles(Given, Directory.Files);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  const auto Given = parseOptions(Count, Arguments);
+  return static_cast<int>(Given ? run(*Given) : ExitStatus::Usage);
+}
--- /dev/null
+++ b/src/publish/tests/publishertest.cpp
@@ -0,0 +1,194 @@
+#include "publish/tests/support.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace publish;
+using namespace publish::testing;
+using namespace std::chrono_literals;
+using platformlog::LogErrorKind;
+using standins::StandInLog;
+
+namespace {
+
+const std::string kFile = "orders.toml";
+
+/// Two operators read the same state; then one publishes before the other.
+void race(bool AnnFirst) {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  Operator Bob(Log, "bob");
+  REQUIRE(readState(Ann.Target));
+  REQUIRE(readState(Bob.Target));
+  Operator &First = AnnFirst ? Ann : Bob;
+  Operator &Second = AnnFirst ? Bob : Ann;
+  const auto Won = First.publish({{kFile, serviceText("first")}});
+  const auto Lost = Second.publish({{kFile, serviceText("second")}});
+  REQUIRE(Won.size() == 1);
+  REQUIRE(Lost.size() == 1);
+  CHECK(Won[0].Outcome == PublishOutcome::Accepted);
+  CHECK(Lost[0].Outcome == PublishOutcome::RejectedVersion);
+  CHECK(Lost[0].Verdict->CurrentOperator == (AnnFirst ? "ann" : "bob"));
+  CHECK(Lost[0].str().find("was first with version 1") != std::string::npos);
+  Operator Reader(Log, "reader");
+  REQUIRE(readState(Reader.Target));
+  for (const auto &Result : {Won[0], Lost[0]})
+    CHECK(Reader.Target.state().verdictFor(Result.Change.Id) == Result.Verdict);
+}
+
+} // namespace
+
+TEST_CASE("of two racing operators the first in the log wins in either order, "
+          "and every reader agrees") {
+  race(true);
+  race(false);
+}
+
+TEST_CASE("only changed files are appended, the fleet file first") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  FileMap Files{{"a.toml", serviceText()}, {"fleet.toml", fleetText()}};
+  const auto Results = Ann.publish(Files);
+  REQUIRE(Results.size() == 2);
+  CHECK(Results[0].Change.File == "fleet.toml");
+  CHECK(Ann.publish(Files).empty());
+  Files["a.toml"] = serviceText("other");
+  CHECK(Ann.publish(Files).size() == 1);
+  CHECK(Log.end() == 3);
+}
+
+TEST_CASE("absent files are removed only if that is allowed") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  Ann.publish({{"a.toml", serviceText("a")}, {"b.toml", serviceText("b")}});
+  const FileMap Fewer{{"a.toml", serviceText("a")}};
+  CHECK(Ann.Target.plan(Fewer).Kept == std::vector<std::string>{"b.toml"});
+  CHECK(Ann.publish(Fewer).empty());
+  Operator Bob(Log, "bob", 5s, true);
+  REQUIRE(readState(Bob.Target));
+  const auto Results = Bob.publish(Fewer);
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Outcome == PublishOutcome::Accepted);
+  CHECK_FALSE(Bob.Target.state().current()->service(base::ServiceName("b")));
+  CHECK(Bob.publish(Fewer).empty());
+}
+
+TEST_CASE("files based on an older version don't silently revert a newer "
+          "change") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  Ann.publish({{kFile, serviceText("one")}});
+  Ann.publish({{kFile, serviceText("two")}});
+  Publisher Stale(Ann.Client, Ann.Time,
+                  {.Timeout = 5s,
+                   .AllowRemoval = true,
+                   .Operator = "bob",
+                   .Since = base::LogOffset(1)});
+  REQUIRE(readState(Stale));
+  const Plan Changes = Stale.plan({{kFile, serviceText("one")}});
+  CHECK(Changes.Conflicts == std::vector<std::string>{kFile});
+  CHECK(Stale.publish(Changes).empty());
+  CHECK(Stale.plan({{"b.toml", serviceText()}}).Conflicts.size() == 1);
+  CHECK(Stale.plan({{kFile, serviceText("two")}}).Conflicts.empty());
+}
+
+TEST_CASE("a faulty file keeps the whole directory from being published") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  const Plan Changes = Ann.Target.plan(
+      {{"a.toml", serviceText()}, {"b.toml", "[backend]\nslots = 0\n"}});
+  CHECK(Changes.Errors.size() == 3);
+  CHECK(Changes.Changes.empty());
+  CHECK(Ann.Target.publish(Changes).empty());
+  CHECK(Log.end() == 0);
+}
+
+TEST_CASE("a lost append response is resolved by the publish id, without a "
+          "second record") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  Log.setFaults({.LoseResponses = true});
+  const auto Results = Ann.publish({{kFile, serviceText()}});
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Outcome == PublishOutcome::Accepted);
+  CHECK(Log.end() == 1);
+}
+
+TEST_CASE("during an outage nothing is published, and after a short one each "
+          "change is published once") {
+  StandInLog Log;
+  Operator Ann(Log, "ann", 300ms);
+  REQUIRE(readState(Ann.Target));
+  Log.setFaults({.Outage = true});
+  const auto Results = Ann.publish({{kFile, serviceText()}});
+  CHECK(Results[0].Outcome == PublishOutcome::NotAppended);
+  CHECK(Log.end() == 0);
+  LogErrorKind Kind{};
+  CHECK_FALSE(readState(Ann.Target, &Kind));
+  CHECK(Kind == LogErrorKind::Unavailable);
+  const std::uint64_t Before = Log.calls();
+  std::vector<ChangeResult> Later;
+  Operator Bob(Log, "bob", 10s);
+  std::thread Publishing([&] {
+    if (readState(Bob.Target))
+      Later = Bob.publish({{kFile, serviceText()}});
+  });
+  while (Log.calls() < Before + 2)
+    std::this_thread::yield();
+  Log.setFaults({});
+  Publishing.join();
+  REQUIRE(Later.size() == 1);
+  CHECK(Later[0].Outcome == PublishOutcome::Accepted);
+  CHECK(Log.end() == 1);
+}
+
+TEST_CASE("an append that takes effect while the log can't be read is reported "
+          "as unknown, and the next run finds it") {
+  StandInLog Log;
+  Operator Ann(Log, "ann", 400ms);
+  REQUIRE(readState(Ann.Target));
+  Log.setFaults({.Nonsense = true});
+  const auto Results = Ann.publish({{kFile, serviceText()}});
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Outcome == PublishOutcome::Unknown);
+  CHECK(Log.end() == 1);
+  LogErrorKind Kind{};
+  CHECK_FALSE(readState(Ann.Target, &Kind));
+  CHECK(Kind == LogErrorKind::MalformedResponse);
+  Log.setFaults({});
+  REQUIRE(readState(Ann.Target));
+  CHECK(Ann.publish({{kFile, serviceText()}}).empty());
+  CHECK(Log.end() == 1);
+}
+
+TEST_CASE("connections that go silent between the steps don't stop a "
+          "publication") {
+  StandInLog Log;
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  Log.silenceOpenConnections();
+  const auto Results = Ann.publish({{kFile, serviceText()}});
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Outcome == PublishOutcome::Accepted);
+  Log.silenceOpenConnections();
+  CHECK(readState(Ann.Target));
+  CHECK(Log.end() == 1);
+}
+
+TEST_CASE("a log that answers nothing yields an unknown outcome within the "
+          "timeout") {
+  StandInLog Log;
+  Operator Ann(Log, "ann", 400ms);
+  REQUIRE(readState(Ann.Target));
+  Log.setFaults({.Silent = true});
+  const auto Results = Ann.publish({{kFile, serviceText()}});
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Outcome == PublishOutcome::Unknown);
+  CHECK(Results[0].str().find("unknown") != std::string::npos);
+}
--- /dev/null
+++ b/src/publish/tests/statereadertest.cpp
@@ -0,0 +1,112 @@
+#include "publish/tests/support.h"
+
+#include <doctest/doctest.h>
+
+using namespace publish;
+using namespace publish::testing;
+using namespace std::chrono_literals;
+using standins::StandInLog;
+
+namespace {
+
+/// Publishes `Count` versions of one file.
+void publishVersions(StandInLog &Log, int Count) {
+  Operator Ann(Log, "ann");
+  REQUIRE(readState(Ann.Target));
+  for (int Index = 0; Index < Count; ++Index)
+    Ann.publish({{"orders.toml", serviceText(std::to_string(Log.end()))}});
+}
+
+} // namespace
+
+TEST_CASE("a log that has forgotten its start is read from the snapshot on") {
+  StandInLog Log;
+  publishVersions(Log, 3);
+  config::ConfigState State;
+  catchUp(Log, State);
+  publishVersions(Log, 1);
+  appendSnapshot(Log, State);
+  publishVersions(Log, 1);
+  // Kept: the change at 4, the snapshot of 1 to 3, the change at 6.
+  Log.setRetention(3);
+  Operator Late(Log, "late");
+  REQUIRE(readState(Late.Target));
+  CHECK(Late.Target.state().applied() == base::LogOffset(6));
+  CHECK(Late.Target.state().version() == base::LogOffset(6));
+  CHECK(Late.publish({{"orders.toml", serviceText("new")}})[0].Outcome ==
+        PublishOutcome::Accepted);
+}
+
+TEST_CASE("without a snapshot that covers the gap nothing is published, since "
+          "the versions in force aren't known") {
+  StandInLog Log;
+  publishVersions(Log, 2);
+  config::ConfigState State;
+  catchUp(Log, State);
+  publishVersions(Log, 2);
+  appendSnapshot(Log, State);
+  // The snapshot ends at 2, and the change at 3 is gone.
+  Log.setRetention(2);
+  Operator Late(Log, "late", 200ms);
+  platformlog::LogErrorKind Kind{};
+  CHECK_FALSE(readState(Late.Target, &Kind));
+  CHECK(Kind == platformlog::LogErrorKind::Unavailable);
+  CHECK(Late.Target.state().applied() == base::LogOffset());
+}
+
+TEST_CASE("a reader that falls behind the retention goes on from the next "
+          "snapshot and never back") {
+  StandInLog Log;
+  publishVersions(Log, 2);
+  platformlog::HttpLogClient Client(clientSettings(Log.url()));
+  StateReader Reader(Client);
+  REQUIRE(Reader.step(0ms).value() == ReadProgress::AtEnd);
+  config::ConfigState State;
+  publishVersions(Log, 4);
+  catchUp(Log, State);
+  Log.setRetention(2);
+  CHECK(Reader.step(0ms).value() == ReadProgress::SnapshotMissing);
+  CHECK(Reader.state().version() == base::LogOffset(2));
+  appendSnapshot(Log, State);
+  CHECK(Reader.step(0ms).value() == ReadProgress::AtEnd);
+  CHECK(Reader.state().version() == base::LogOffset(6));
+  CHECK(Reader.state().applied() == base::LogOffset(7));
+}
+
+TEST_CASE("records that can't be decoded or are of other kinds are passed "
+          "over") {
+  StandInLog Log;
+  Log.append("garbage");
+  Log.append(platformlog::encodeRecord(platformlog::RecordKind::Announce,
+                                       std::string("member")));
+  Log.append(platformlog::encodeRecord(platformlog::RecordKind::ConfigChange,
+                                       std::string("no change")));
+  Log.append(platformlog::encodeRecord(platformlog::RecordKind::Snapshot,
+                                       std::string("no snapshot")));
+  publishVersions(Log, 1);
+  Operator Reader(Log, "reader");
+  REQUIRE(readState(Reader.Target));
+  CHECK(Reader.Target.state().version() == base::LogOffset(5));
+}
+
+TEST_CASE("a log that has lost records which were read is refused") {
+  auto Log = std::make_unique<StandInLog>();
+  publishVersions(*Log, 2);
+  const std::uint16_t Port = Log->port();
+  platformlog::HttpLogClient Client(clientSettings(Log->url()));
+  StateReader Reader(Client);
+  REQUIRE(Reader.step(0ms).value() == ReadProgress::AtEnd);
+  Log.reset();
+  const StandInLog Empty(Port);
+  const bool Failed = boost::leaf::try_handle_all(
+      [&]() -> base::Result<bool> {
+        BOOST_LEAF_CHECK(Reader.step(0ms));
+        return false;
+      },
+      [](const platformlog::LogError &Error) {
+        return Error.Kind == platformlog::LogErrorKind::MalformedResponse;
+      },
+      [] { return false; });
+  CHECK(Failed);
+  CHECK(Reader.state().version() == base::LogOffset(2));
+}
--- a/tests/standins/standinlog.cpp
+++ b/tests/standins/standinlog.cpp
@@ -66,6 +66,7 @@
   LogFaults Faults;
   bool Stopping = false;
   std::uint64_t Connections = 0;
+  std::uint64_t Calls = 0;
   /// Connections up to this number never answer again.
   std::uint64_t SilencedUpTo = 0;
   MHD_Daemon *Daemon = nullptr;
@@ -101,6 +102,7 @@
   /// connection is held until the stand-in stops.
   bool awaitTurn(std::unique_lock<std::mutex> &Lock,
                  const ConnectionState &Connection) {
+    ++Calls;
     const auto Due = Clock::now() + Faults.Delay;
     if (Faults.Silent)
       SilencedUpTo = std::max(SilencedUpTo, Connection.Number);
@@ -303,6 +305,11 @@
   return Impl->Records[Offset - Impl->firstOffset()];
 }
 
+std::uint64_t StandInLog::calls() const {
+  const std::lock_guard Lock(Impl->Mutex);
+  return Impl->Calls;
+}
+
 std::uint64_t StandInLog::first() const {
   const std::lock_guard Lock(Impl->Mutex);
   return Impl->firstOffset();
--- a/tests/standins/standinlog.h
+++ b/tests/standins/standinlog.h
@@ -54,6 +54,9 @@
   /// A retained record.
   std::optional<std::string> record(std::uint64_t Offset) const;
 
+  /// Calls to streams that have been received, whatever became of them.
+  std::uint64_t calls() const;
+
   /// Oldest retained offset and offset of the newest record.
   std::uint64_t first() const;
   std::uint64_t end() const;
