Serve a request from end to end with every part its own process

The rate is applied per daemon for now, and upstreams are chosen without regard to locality; both follow with their modules.

--- /dev/null
+++ b/src/node/callclient.h
@@ -0,0 +1,106 @@
+#ifndef JACKDAW_NODE_CALLCLIENT_H
+#define JACKDAW_NODE_CALLCLIENT_H
+
+#include "execution/calltracker.h"
+#include "http/server.h"
+#include "node/messages.h"
+#include "node/runtime.h"
+#include "node/upstreams.h"
+#include "retry/retryallowance.h"
+#include "retry/retrybudgettable.h"
+#include "retry/retrypolicy.h"
+#include "transport/peertransport.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace node {
+
+/// A call to a service, at whichever of its upstreams.
+struct OutgoingCall {
+  execution::RequestScope Scope;
+  base::ServiceName Service;
+  overload::RouteName Route;
+  base::BootTime Deadline;
+  /// Longest wait for the response of one attempt.
+  base::Duration AttemptTimeout{};
+  bool Idempotent = false;
+  std::uint16_t Depth = 0;
+  base::Duration WaitedBefore{};
+  http::Request Request;
+};
+
+/// The end of a call after all its attempts.
+struct CallResult {
+  execution::CallVerdict Verdict;
+  /// Attempts that were made, the first one included.
+  std::uint32_t Attempts = 0;
+};
+
+/// Makes calls to other daemons: chooses the upstream, sends, settles lost
+/// connections by fences, and retries within the allowance and the budget.
+/// Safe to use from any thread.
+class CallClient {
+public:
+  CallClient(Runtime &Shared, Upstreams &Choice);
+
+  /// Must be set before the first call; the transport needs its listener
+  /// first.
+  void setTransport(transport::PeerTransport &Peers) { Transport = &Peers; }
+
+  /// Learns the level and load that responses carry.
+  using ReportListener = std::function<void(const overload::RouteKey &Route,
+                                            const LoadReport &Report)>;
+  void setReportListener(ReportListener Listener) {
+    OnReport = std::move(Listener);
+  }
+
+  /// Makes the call and waits for its end. Uses up retries of `Allowance`.
+  /// Cancels the call if the caller's connection closes.
+  CallResult call(const OutgoingCall &Call, retry::RetryAllowance &Allowance,
+                  const http::CallerConnection &Caller);
+
+  void onResponse(const CallResponseMessage &Message);
+  void onFenceReply(const execution::FenceReply &Reply);
+  void onConnectionClosed(transport::ConnectionId Connection);
+  void tick();
+
+  std::size_t openCalls() const;
+
+private:
+  struct Waiter {
+    base::PeerAddress Target;
+    overload::RouteKey Route;
+    std::optional<execution::CallVerdict> Verdict;
+    std::condition_variable Settled;
+  };
+
+  execution::CallVerdict attempt(const OutgoingCall &Call,
+                                 const Upstream &Target,
+                                 std::uint32_t AllowanceUnits,
+                                 const http::CallerConnection &Caller);
+  void transmit(const OutgoingCall &Call, const Upstream &Target,
+                const execution::CallIdentity &Identity,
+                std::uint32_t AllowanceUnits);
+  execution::CallVerdict wait(std::unique_lock<std::mutex> &Lock,
+                              Waiter &Waiting, const base::RequestId &Id,
+                              const http::CallerConnection &Caller);
+  void runActions();
+
+  Runtime &Shared;
+  Upstreams &Choice;
+  transport::PeerTransport *Transport = nullptr;
+  ReportListener OnReport;
+  mutable std::mutex Mutex;
+  execution::CallTracker Tracker;
+  retry::RetryBudgetTable Budgets;
+  retry::RetryPolicy Policy;
+  std::unordered_map<base::RequestId, std::shared_ptr<Waiter>> Waiters;
+};
+
+} // namespace node
+
+#endif // JACKDAW_NODE_CALLCLIENT_H
--- /dev/null
+++ b/src/node/internal/entryservice.cpp
@@ -0,0 +1,282 @@
+#include "node/entryservice.h"
+
+#include "node/requestidentity.h"
+#include "overload/requestvalue.h"
+
+namespace node {
+
+namespace {
+
+constexpr std::string_view kRegisterPath = "/-/register";
+constexpr std::uint32_t kRetryAfterSeconds = 1;
+/// Calls are refused below this depth, so that a cycle in the call graph ends.
+constexpr std::uint16_t kMaxDepth = 64;
+
+execution::Response responseOf(const CallResult &Result) {
+  const execution::CallVerdict &Verdict = Result.Verdict;
+  if (Verdict.Answer) {
+    execution::Response Answer = *Verdict.Answer;
+    Answer.What = Verdict.What;
+    return Answer;
+  }
+  return execution::errorResponse(
+      Verdict.Error.value_or(base::ErrorKind::Internal), Verdict.What);
+}
+
+/// Counts a request as open while it lives.
+class OpenRequest {
+public:
+  explicit OpenRequest(std::atomic<std::size_t> &Count) : Count(Count) {
+    ++Count;
+  }
+  ~OpenRequest() { --Count; }
+  OpenRequest(const OpenRequest &) = delete;
+
+private:
+  std::atomic<std::size_t> &Count;
+};
+
+} // namespace
+
+EntryService::EntryService(Runtime &Shared, FleetState &Fleet,
+                           CallClient &Calls, ServingService &Serving,
+                           RateControl &Rates, IdempotencyClient &Idempotency,
+                           RegisterListener OnRegister)
+    : Shared(Shared), Fleet(Fleet), Calls(Calls), Serving(Serving),
+      Rates(Rates), Idempotency(Idempotency), OnRegister(std::move(OnRegister)),
+      Admission(Shared.Time), Demand(Shared.Time) {}
+
+http::Response EntryService::handle(http::Request Received,
+                                    const http::CallerConnection &Connection) {
+  const OpenRequest Counted(Open);
+  const base::BootTime Started = Shared.Time.now();
+  if (Received.Path == kRegisterPath)
+    return registerBackend(Received);
+  http::Response Answer = process(std::move(Received), Connection);
+  Shared.Metrics.histogram("request_seconds")
+      .record(Shared.Time.now() - Started);
+  return Answer;
+}
+
+http::Response EntryService::bodyTooLarge() const {
+  return refusal(base::ErrorKind::BodyTooLarge);
+}
+
+http::Response EntryService::registerBackend(const http::Request &Received) {
+  if (Received.Method != "POST")
+    return refusal(base::ErrorKind::RouteUnknown);
+  const std::string Problem = OnRegister(Received.Body);
+  if (Problem.empty())
+    return {200, {}, "registered\n"};
+  http::Response Answer = refusal(base::ErrorKind::RequestMalformed);
+  Answer.Body = Problem + "\n";
+  return Answer;
+}
+
+http::Response EntryService::process(http::Request Received,
+                                     const http::CallerConnection &Connection) {
+  const Credentials Presented = extractCredentials(Received);
+  Admitted Request;
+  Request.Config = Fleet.configuration();
+  if (const auto Kind = findRoute(Received, Request))
+    return refusal(*Kind);
+  if (const auto Kind = identify(Presented, Request))
+    return refusal(*Kind);
+  if (const auto Kind = admit(Request, Received)) {
+    if (Request.Inner)
+      endInner(Request, Request.Inner->Grant.units());
+    return refusal(*Kind);
+  }
+  Request.Call.Request = std::move(Received);
+  return toHttp(Request.Key ? runKeyed(Request, Connection)
+                            : run(Request, Connection));
+}
+
+std::optional<base::ErrorKind>
+EntryService::findRoute(http::Request &Received, Admitted &Request) const {
+  const std::size_t Slash = Received.Path.find('/', 1);
+  const base::ServiceName Name(
+      Received.Path.empty() ? "" : Received.Path.substr(1, Slash - 1));
+  Received.Path =
+      Slash == std::string::npos ? "/" : Received.Path.substr(Slash);
+  Request.Service = Request.Config->service(Name);
+  if (Request.Service == nullptr)
+    return base::ErrorKind::RouteUnknown;
+  Request.Route = Request.Service->routeFor(Received.Method, Received.Path);
+  if (Request.Route == nullptr)
+    return base::ErrorKind::RouteUnknown;
+  if (Received.Body.size() > Request.Service->config().Backend.BodyLimitBytes)
+    return base::ErrorKind::BodyTooLarge;
+  OutgoingCall &Call = Request.Call;
+  Call.Service = Name;
+  Call.Route = overload::RouteName(Request.Route->Prefix);
+  Call.Idempotent = !Request.Route->NonIdempotent;
+  Call.AttemptTimeout = Request.Route->ResponseTimeout;
+  return std::nullopt;
+}
+
+std::optional<base::ErrorKind>
+EntryService::identify(const Credentials &Presented, Admitted &Request) {
+  if (!Presented.Handle)
+    return identifyCaller(Presented, Request);
+  const auto Value = execution::parseHandle(*Presented.Handle);
+  if (!Value)
+    return base::ErrorKind::HandleUnknown;
+  auto Inner = Serving.beginInnerCall(*Value);
+  if (!Inner)
+    return base::ErrorKind::HandleUnknown;
+  OutgoingCall &Call = Request.Call;
+  Call.Scope = Inner->Scope;
+  // The called route may matter less than the request, never more: priority
+  // comes from the entry.
+  Call.Depth = Inner->Depth;
+  Call.Deadline =
+      std::min(Inner->Deadline, Shared.Time.now() + Request.Route->Deadline);
+  Request.Handle = *Value;
+  Request.Inner = std::move(Inner);
+  return std::nullopt;
+}
+
+std::optional<base::ErrorKind>
+EntryService::identifyCaller(const Credentials &Presented, Admitted &Request) {
+  execution::RequestScope &Scope = Request.Call.Scope;
+  Scope.Root = base::makeRandomId<base::RootId>();
+  Scope.Priority = Request.Route->Priority;
+  Request.Call.Deadline = Shared.Time.now() + Request.Route->Deadline;
+  const config::WorkspaceConfig *Workspace =
+      Presented.Keys.size() == 1
+          ? Request.Service->workspaceByKey(
+                config::digestKey(Presented.Keys.front()))
+          : nullptr;
+  if (Workspace != nullptr) {
+    Scope.Workspace = Workspace->Name;
+    return std::nullopt;
+  }
+  if (Request.Route->OpenToAll)
+    return std::nullopt;
+  return Presented.Keys.empty() ? base::ErrorKind::KeyMissing
+                                : base::ErrorKind::KeyUnknown;
+}
+
+std::optional<base::ErrorKind>
+EntryService::admit(Admitted &Request, const http::Request &Received) {
+  OutgoingCall &Call = Request.Call;
+  execution::RequestScope &Scope = Call.Scope;
+  if (Call.Depth > kMaxDepth)
+    return base::ErrorKind::RequestMalformed;
+  if (!Call.Idempotent) {
+    if (const auto Text =
+            http::findHeader(Received.Headers, "idempotency-key")) {
+      const auto Key = execution::IdempotencyKey::parse(*Text);
+      if (!Key)
+        return base::ErrorKind::IdempotencyKeyInvalid;
+      Request.Key = *Key;
+    }
+  }
+  const overload::RouteKey Route{Call.Service, Call.Route};
+  if (Request.Inner)
+    return Serving.admitsInner(Route, Scope)
+               ? std::nullopt
+               : std::optional(base::ErrorKind::Overloaded);
+  {
+    std::lock_guard Lock(Mutex);
+    const std::uint8_t Value =
+        overload::requestValue(Scope.Root, Scope.Workspace,
+                               overload::valuePeriod(Shared.Time.wallNow()));
+    Scope.AdmissionValue =
+        Demand.correctedValue(Scope.Workspace, Scope.Priority, Value);
+    if (!Admission.admits(Route, Scope.Priority, Scope.AdmissionValue))
+      return base::ErrorKind::Overloaded;
+  }
+  if (Scope.Workspace.empty())
+    return std::nullopt;
+  return Rates.take(Call.Service, Scope.Workspace);
+}
+
+execution::Response
+EntryService::run(Admitted &Request, const http::CallerConnection &Connection) {
+  if (!Request.Inner) {
+    retry::RetryAllowance Allowance(Request.Config->fleet().RetryAllowance);
+    return responseOf(Calls.call(Request.Call, Allowance, Connection));
+  }
+  retry::RetryAllowance Allowance(Request.Inner->Grant.units());
+  const CallResult Result = Calls.call(Request.Call, Allowance, Connection);
+  endInner(Request, Allowance.close());
+  return responseOf(Result);
+}
+
+void EntryService::endInner(Admitted &Request, std::uint32_t UnusedRetries) {
+  Serving.endInnerCall(*Request.Handle, std::move(*Request.Inner),
+                       UnusedRetries);
+}
+
+execution::Response
+EntryService::runKeyed(Admitted &Request,
+                       const http::CallerConnection &Connection) {
+  const OutgoingCall &Call = Request.Call;
+  const config::WorkspaceConfig *Workspace =
+      Request.Service->workspace(Call.Scope.Workspace);
+  KeyedAttempt Attempt;
+  Attempt.Begin.Request = {Call.Service, Call.Scope.Workspace, *Request.Key};
+  Attempt.Begin.Digest = execution::digestRequest(
+      Call.Request.Method, Call.Request.Path + "?" + Call.Request.Query,
+      Call.Request.Body);
+  Attempt.Begin.Attempt = base::makeRandomId<execution::AttemptId>();
+  Attempt.RecordDataCentre =
+      Workspace != nullptr ? Workspace->RecordDataCentre : base::DataCentreId();
+  Attempt.Deadline = Call.Deadline;
+  if (auto Earlier = Idempotency.begin(Attempt, *Request.Config))
+    return *Earlier;
+  execution::Response Answer = run(Request, Connection);
+  Idempotency.finish(Attempt, *Request.Config, Answer);
+  return Answer;
+}
+
+http::Response EntryService::toHttp(const execution::Response &Answer) const {
+  if (Answer.Error) {
+    http::Response Refused = refusal(*Answer.Error);
+    for (http::Header &Each : Refused.Headers)
+      if (Each.Name == "Jackdaw-Outcome")
+        Each.Value = std::string(base::outcomeName(Answer.What));
+    return Refused;
+  }
+  http::Response Result;
+  Result.Status = Answer.Status;
+  Result.Body = Answer.Body;
+  for (const execution::Header &Each : Answer.Headers)
+    Result.Headers.push_back({Each.Name, Each.Value});
+  Result.Headers.push_back(
+      {"Jackdaw-Outcome", std::string(base::outcomeName(Answer.What))});
+  return Result;
+}
+
+http::Response EntryService::refusal(base::ErrorKind Kind) const {
+  const base::ErrorAnswer &Row = base::answerFor(Kind);
+  Shared.Metrics
+      .counter("requests_refused_total{kind=\"" + std::string(Row.Name) + "\"}")
+      .add();
+  http::Response Answer;
+  Answer.Status = Row.Status;
+  Answer.Headers = {
+      {"Content-Type", "text/plain"},
+      {"Jackdaw-Error", std::string(Row.Name)},
+      {"Jackdaw-Outcome", std::string(base::outcomeName(Row.DefaultOutcome))}};
+  if (Row.RepeatMayHelp)
+    Answer.Headers.push_back(
+        {"Retry-After", std::to_string(kRetryAfterSeconds)});
+  Answer.Body = std::string(Row.Text) + "\n";
+  return Answer;
+}
+
+void EntryService::learnLevel(const overload::RouteKey &Route,
+                              const LoadReport &Report) {
+  std::lock_guard Lock(Mutex);
+  Admission.learn(Route, Report.Level);
+}
+
+void EntryService::tick() {
+  std::lock_guard Lock(Mutex);
+  Admission.removeStale();
+}
+
+} // namespace node
--- /dev/null
+++ b/src/node/internal/servingservice.cpp
@@ -0,0 +1,397 @@
+#include "node/servingservice.h"
+
+#include "http/client.h"
+
+#include <algorithm>
+
+namespace node {
+
+namespace {
+
+constexpr std::size_t kQueueEntriesPerSlot = 4;
+constexpr std::size_t kMinQueueEntries = 64;
+
+base::Duration fromMicros(std::uint64_t Micros) {
+  constexpr std::uint64_t Limit = 3600ULL * 1000 * 1000;
+  return std::chrono::microseconds(std::min(Micros, Limit));
+}
+
+base::ErrorKind kindOf(overload::Departure Reason) {
+  return Reason == overload::Departure::DeadlinePassed
+             ? base::ErrorKind::DeadlineExceeded
+             : base::ErrorKind::Overloaded;
+}
+
+/// Headers of the response that go back to the caller.
+std::vector<execution::Header>
+forwardableHeaders(const std::vector<http::Header> &Headers) {
+  std::vector<execution::Header> Result;
+  for (const http::Header &Each : Headers)
+    if (!http::isHopByHopHeader(Each.Name))
+      Result.push_back({Each.Name, Each.Value});
+  return Result;
+}
+
+execution::Response responseOf(const http::ExchangeResult &Result) {
+  using http::ExchangeStatus;
+  switch (Result.Status) {
+  case ExchangeStatus::Completed: {
+    execution::Response Answer;
+    Answer.What = base::Outcome::Ran;
+    Answer.Status = Result.Received.Status;
+    Answer.Headers = forwardableHeaders(Result.Received.Headers);
+    Answer.Body = Result.Received.Body;
+    return Answer;
+  }
+  case ExchangeStatus::NotSent:
+    return execution::errorResponse(base::ErrorKind::NoUpstream,
+                                    base::Outcome::NotRun);
+  case ExchangeStatus::TimedOut:
+    return execution::errorResponse(base::ErrorKind::DeadlineExceeded,
+                                    base::Outcome::Unknown);
+  case ExchangeStatus::Cancelled:
+    return execution::errorResponse(base::ErrorKind::Cancelled,
+                                    base::Outcome::Unknown);
+  case ExchangeStatus::Broken:
+    break;
+  }
+  return execution::errorResponse(base::ErrorKind::OutcomeUnknown,
+                                  base::Outcome::Unknown);
+}
+
+overload::CallEnd endOf(const http::ExchangeResult &Result) {
+  if (Result.Status == http::ExchangeStatus::Cancelled)
+    return overload::CallEnd::Cancelled;
+  const bool Refused = Result.Received.Status == 503;
+  return Result.Status == http::ExchangeStatus::Completed && !Refused
+             ? overload::CallEnd::Responded
+             : overload::CallEnd::Failed;
+}
+
+} // namespace
+
+ServingService::ServingService(Runtime &Shared)
+    : Shared(Shared), Executions(Shared.Time, Shared.Self),
+      Admission(Shared.Time, {}), Levels(Shared.Time) {}
+
+ServingService::~ServingService() {
+  {
+    std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  WorkReady.notify_all();
+  for (std::thread &Each : Workers)
+    Each.join();
+}
+
+void ServingService::setBackend(Backend New) {
+  std::lock_guard Lock(Mutex);
+  const std::uint32_t Slots = std::max<std::uint32_t>(New.Limits.Slots, 1);
+  const bool Changed = !Local || Local->Service != New.Service ||
+                       Local->Port != New.Port ||
+                       Local->Limits.Slots != New.Limits.Slots ||
+                       Local->Limits.Queue != New.Limits.Queue;
+  Local = std::move(New);
+  // Calls in flight are counted in the old limit, so an unchanged backend
+  // server keeps it.
+  if (!Changed && Limit)
+    return;
+  if (!Limit || Limit->inFlight() == 0)
+    Limit = std::make_unique<overload::AdaptiveLimit>(Shared.Time, Slots);
+  if (!Queue || Queue->size() == 0) {
+    overload::QueueSettings Settings;
+    Settings.MaxLength =
+        std::max(kMinQueueEntries, kQueueEntriesPerSlot * Slots);
+    Settings.MaxWait = Local->Limits.Queue;
+    Queue = std::make_unique<overload::FairQueue>(Shared.Time, Settings);
+  }
+  while (Workers.size() < Slots)
+    Workers.emplace_back([this] { workerLoop(); });
+}
+
+std::optional<Backend> ServingService::backend() const {
+  std::lock_guard Lock(Mutex);
+  return Local;
+}
+
+void ServingService::onCall(transport::ConnectionId Connection,
+                            CallMessage Message) {
+  std::unique_lock Lock(Mutex);
+  const execution::CallContext Context = Message.Context;
+  const base::RequestId Id = Context.Identity.Id;
+  switch (
+      Executions.admit(Context, execution::ConnectionId(Connection.value()))) {
+  case execution::AdmitVerdict::Queued:
+    break;
+  case execution::AdmitVerdict::Refused:
+    return refuseUnadmitted(Connection, Message, base::ErrorKind::Overloaded);
+  case execution::AdmitVerdict::Discarded:
+    Shared.Metrics.counter("calls_discarded_total").add();
+    return;
+  }
+  const execution::RequestScope &Scope = Context.Scope;
+  overload::QueueEntry Entry;
+  Entry.Id = Id;
+  Entry.Workspace = Scope.Workspace;
+  Entry.Class = Scope.Priority;
+  Entry.Deadline = execution::deadlineOf(Context, Shared.Time.now());
+  Entry.WaitedBefore = fromMicros(Message.WaitedMicros);
+  Pending.emplace(Id, PendingCall{std::move(Message), Shared.Time.now(),
+                                  std::make_shared<std::atomic<bool>>(false)});
+  if (!Local || Local->Service != Context.Service)
+    return refuse(Id, base::ErrorKind::NoUpstream);
+  if (Draining)
+    return refuse(Id, base::ErrorKind::Draining);
+  if (!Admission.admit(Entry.Class, Scope.AdmissionValue))
+    return refuse(Id, base::ErrorKind::Overloaded);
+  if (const auto Left = Queue->push(std::move(Entry)))
+    dropDeparted(*Left);
+  Lock.unlock();
+  WorkReady.notify_one();
+}
+
+void ServingService::onFence(transport::ConnectionId Connection,
+                             const execution::Fence &Request) {
+  execution::FenceReply Reply;
+  {
+    std::lock_guard Lock(Mutex);
+    const base::RequestId &Id = Request.Identity.Id;
+    execution::FenceVerdict Verdict =
+        Executions.fence(Request, execution::ConnectionId(Connection.value()));
+    if (Verdict.LeftQueue) {
+      Queue->cancel(Id);
+      Pending.erase(Id);
+    }
+    const auto Found = Running.find(Id);
+    if (Request.Cancel && Found != Running.end())
+      *Found->second = true;
+    Reply.Id = Id;
+    Reply.State = Verdict.State;
+    if (Verdict.Answer)
+      Reply.Answer = *Verdict.Answer;
+  }
+  Shared.Metrics.counter("fences_received_total").add();
+  Transport->send(Connection,
+                  {static_cast<std::uint8_t>(MessageType::FenceReply),
+                   base::encode(Reply)});
+}
+
+std::optional<InnerCall>
+ServingService::beginInnerCall(const base::Handle &Value) {
+  std::lock_guard Lock(Mutex);
+  auto Found = Handles.find(Value);
+  if (!Found)
+    return std::nullopt;
+  execution::RequestContext &Context = **Found;
+  InnerCall Inner;
+  Inner.Scope = Context.Scope;
+  Inner.Deadline = Context.Deadline;
+  Inner.Depth = static_cast<std::uint16_t>(Context.Depth + 1);
+  Inner.Grant = Context.Allowance.give();
+  if (const auto Route = HandleRoutes.find(Value); Route != HandleRoutes.end())
+    Inner.Parent = Route->second;
+  return Inner;
+}
+
+void ServingService::endInnerCall(const base::Handle &Value, InnerCall Inner,
+                                  std::uint32_t UnusedRetries) {
+  std::lock_guard Lock(Mutex);
+  auto Found = Handles.find(Value);
+  if (Found)
+    (*Found)->Allowance.giveBack(std::move(Inner.Grant), UnusedRetries);
+}
+
+void ServingService::learnLevel(const overload::RouteName &Parent,
+                                const overload::RouteKey &Child,
+                                const overload::Level &Reported) {
+  std::lock_guard Lock(Mutex);
+  Levels.learn(Parent, Child, Reported);
+}
+
+bool ServingService::admitsInner(const overload::RouteKey &Child,
+                                 const execution::RequestScope &Scope) const {
+  std::lock_guard Lock(Mutex);
+  return Levels.admits(Child, Scope.Priority, Scope.AdmissionValue);
+}
+
+void ServingService::startDraining() {
+  std::lock_guard Lock(Mutex);
+  Draining = true;
+}
+
+std::size_t ServingService::openCalls() const {
+  std::lock_guard Lock(Mutex);
+  return Pending.size() + Running.size();
+}
+
+void ServingService::tick() {
+  std::lock_guard Lock(Mutex);
+  if (!Local)
+    return;
+  Limit->tick();
+  for (const overload::DepartedEntry &Left : Queue->takeExpired())
+    dropDeparted(Left);
+  Admission.tick(Queue->oldestWaits());
+  Executions.tick();
+  WorkReady.notify_one();
+}
+
+std::string ServingService::status() const {
+  std::lock_guard Lock(Mutex);
+  if (!Local)
+    return "backend none\n";
+  return "backend " + Local->Service.str() + " port " +
+         std::to_string(Local->Port) + "\nlimit " +
+         std::to_string(Limit->limit()) + "\nin_flight " +
+         std::to_string(Limit->inFlight()) + "\nqueued " +
+         std::to_string(Queue->size()) + "\nadmission_level " +
+         std::to_string(Admission.level().index()) + "\n";
+}
+
+void ServingService::workerLoop() {
+  std::unique_lock Lock(Mutex);
+  for (;;) {
+    WorkReady.wait(Lock, [this] {
+      return Stopping || (Queue->size() > 0 && Limit->hasRoom());
+    });
+    if (Stopping)
+      return;
+    auto Next = takeNext();
+    if (!Next)
+      continue;
+    Lock.unlock();
+    const base::BootTime Started = Shared.Time.now();
+    overload::CallEnd End = overload::CallEnd::Cancelled;
+    execution::Response Answer = runAtBackend(*Next, End);
+    const base::Duration Latency = Shared.Time.now() - Started;
+    Lock.lock();
+    finish(*Next, std::move(Answer), End, Latency);
+  }
+}
+
+std::optional<ServingService::RunningCall> ServingService::takeNext() {
+  const auto Popped = Queue->pop();
+  if (!Popped)
+    return std::nullopt;
+  const base::RequestId Id = Popped->Entry.Id;
+  const auto Found = Pending.find(Id);
+  if (Found == Pending.end())
+    return std::nullopt;
+  switch (Executions.start(Id)) {
+  case execution::StartVerdict::Started:
+    break;
+  case execution::StartVerdict::Expired:
+    refuse(Id, base::ErrorKind::DeadlineExceeded);
+    return std::nullopt;
+  case execution::StartVerdict::Stopped:
+    Pending.erase(Found);
+    return std::nullopt;
+  }
+  RunningCall Next;
+  Next.Id = Id;
+  Next.Call = std::move(Found->second);
+  Pending.erase(Found);
+  Next.Waited = Popped->Waited;
+  Next.Target = *Local;
+  Next.Handle = Handles.open(
+      execution::contextOf(Next.Call.Message.Context, Next.Call.ArrivedAt));
+  HandleRoutes.emplace(Next.Handle, Next.Call.Message.Route);
+  Running.emplace(Id, Next.Call.Cancel);
+  Limit->callStarted();
+  Admission.started();
+  return Next;
+}
+
+execution::Response ServingService::runAtBackend(const RunningCall &Running,
+                                                 overload::CallEnd &End) const {
+  thread_local http::Client Client;
+  const execution::CallContext &Context = Running.Call.Message.Context;
+  const base::BootTime Deadline =
+      execution::deadlineOf(Context, Running.Call.ArrivedAt);
+  http::Request Sent = Running.Call.Message.Request;
+  Sent.Headers.push_back({"Jackdaw-Handle", base::toHex(Running.Handle.Bytes)});
+  http::ExchangeOptions Options;
+  Options.Timeout = Deadline - Shared.Time.now();
+  Options.FreshConnection = !Context.Idempotent;
+  Options.Cancel = Running.Call.Cancel.get();
+  const auto Result = Client.exchange(
+      "http://127.0.0.1:" + std::to_string(Running.Target.Port), Sent, Options);
+  End = endOf(Result);
+  return responseOf(Result);
+}
+
+void ServingService::finish(const RunningCall &Ended,
+                            execution::Response Answer, overload::CallEnd End,
+                            base::Duration Latency) {
+  Limit->callEnded(End, Latency);
+  Answer.UnusedAllowance = Handles.close(Ended.Handle);
+  HandleRoutes.erase(Ended.Handle);
+  Running.erase(Ended.Id);
+  Shared.Metrics.histogram("backend_seconds").record(Latency);
+  Shared.Metrics.counter("calls_run_total").add();
+  const auto ReplyTo = Executions.replyTo(Ended.Id);
+  const auto Kept = std::make_shared<execution::Response>(std::move(Answer));
+  Executions.finish(Ended.Id, Kept);
+  if (ReplyTo)
+    reply(transport::ConnectionId(ReplyTo->value()), Ended.Id, *Kept,
+          Ended.Call.Message.Route);
+  WorkReady.notify_one();
+}
+
+/// Ends a call that has been admitted but has not started.
+void ServingService::refuse(const base::RequestId &Id, base::ErrorKind Kind) {
+  const auto ReplyTo = Executions.replyTo(Id);
+  const auto Found = Pending.find(Id);
+  const overload::RouteName Route = Found != Pending.end()
+                                        ? Found->second.Message.Route
+                                        : overload::RouteName();
+  const std::uint32_t Unused =
+      Found != Pending.end() ? Found->second.Message.Context.RetryAllowance : 0;
+  Pending.erase(Id);
+  Executions.withdraw(Id);
+  Shared.Metrics
+      .counter("calls_refused_total{kind=\"" +
+               std::string(base::answerFor(Kind).Name) + "\"}")
+      .add();
+  if (!ReplyTo)
+    return;
+  execution::Response Answer =
+      execution::errorResponse(Kind, base::Outcome::NotRun);
+  Answer.UnusedAllowance = Unused;
+  reply(transport::ConnectionId(ReplyTo->value()), Id, Answer, Route);
+}
+
+void ServingService::refuseUnadmitted(transport::ConnectionId Connection,
+                                      const CallMessage &Message,
+                                      base::ErrorKind Kind) {
+  execution::Response Answer =
+      execution::errorResponse(Kind, base::Outcome::NotRun);
+  Answer.UnusedAllowance = Message.Context.RetryAllowance;
+  reply(Connection, Message.Context.Identity.Id, Answer, Message.Route);
+}
+
+void ServingService::reply(transport::ConnectionId Connection,
+                           const base::RequestId &Id,
+                           const execution::Response &Answer,
+                           const overload::RouteName &Route) {
+  CallResponseMessage Message;
+  Message.Id = Id;
+  Message.Response = Answer;
+  Message.Report = reportFor(Route);
+  Transport->send(Connection,
+                  {static_cast<std::uint8_t>(MessageType::CallResponse),
+                   base::encode(Message)});
+}
+
+void ServingService::dropDeparted(const overload::DepartedEntry &Left) {
+  refuse(Left.Entry.Id, kindOf(Left.Reason));
+}
+
+LoadReport ServingService::reportFor(const overload::RouteName &Route) const {
+  LoadReport Report;
+  Report.Level = Levels.responseLevel(Route, Admission.level());
+  Report.Load = static_cast<std::uint32_t>(Pending.size() + Running.size());
+  return Report;
+}
+
+} // namespace node
--- /dev/null
+++ b/src/node/messages.h
@@ -0,0 +1,96 @@
+#ifndef JACKDAW_NODE_MESSAGES_H
+#define JACKDAW_NODE_MESSAGES_H
+
+#include "base/codec.h"
+#include "execution/messages.h"
+#include "http/message.h"
+#include "overload/level.h"
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace node {
+
+/// Types of the frames between daemons.
+enum class MessageType : std::uint8_t {
+  Call = 1,
+  CallResponse,
+  Fence,
+  FenceReply,
+  FetchRecords,
+  FetchedRecords,
+  PermitRequest,
+  PermitGrant,
+  IdempotencyBegin,
+  IdempotencyReply,
+  IdempotencyFinish,
+  SuccessorPing,
+  SuccessorAck,
+};
+
+/// A call from an entry daemon to a serving daemon.
+struct CallMessage {
+  execution::CallContext Context;
+  /// Path prefix of the route, which names it within its service.
+  overload::RouteName Route;
+  /// Time spent in queues at earlier hops, in microseconds.
+  std::uint64_t WaitedMicros = 0;
+  http::Request Request;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Context, Route, WaitedMicros, Request);
+  }
+};
+
+/// What a serving daemon tells about its load along with a response.
+struct LoadReport {
+  overload::Level Level;
+  /// Calls queued or running there.
+  std::uint32_t Load = 0;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Level, Load); }
+};
+
+struct CallResponseMessage {
+  base::RequestId Id;
+  execution::Response Response;
+  LoadReport Report;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Id, Response, Report);
+  }
+};
+
+/// Asks a peer for log records from an offset on.
+struct FetchRecords {
+  base::LogOffset From;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(From); }
+};
+
+struct FetchedRecord {
+  base::LogOffset Offset;
+  std::string Bytes;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Offset, Bytes); }
+};
+
+/// Records in offset order without gaps, or a snapshot if the peer no longer
+/// keeps the first of them.
+struct FetchedRecords {
+  std::string Snapshot;
+  std::vector<FetchedRecord> Records;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Snapshot, Records);
+  }
+};
+
+} // namespace node
+
+#endif // JACKDAW_NODE_MESSAGES_H
--- /dev/null
+++ b/src/node/runtime.h
@@ -0,0 +1,38 @@
+#ifndef JACKDAW_NODE_RUNTIME_H
+#define JACKDAW_NODE_RUNTIME_H
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/timeline.h"
+#include "base/types.h"
+
+#include <string>
+
+namespace node {
+
+/// Number of events that a daemon keeps for its time line.
+inline constexpr std::size_t kTimelineCapacity = 4096;
+
+/// What every part of a daemon shares.
+class Runtime {
+public:
+  Runtime(const base::Clock &Time, base::ProcessId Self,
+          base::DataCentreId DataCentre, base::RegionId Region)
+      : Time(Time), Self(std::move(Self)), DataCentre(std::move(DataCentre)),
+        Region(std::move(Region)),
+        Events(Time, this->Self.Instance, kTimelineCapacity) {}
+
+  /// Records a change of state in the time line and the log.
+  void noteChange(const std::string &Kind, const std::string &Detail);
+
+  const base::Clock &Time;
+  const base::ProcessId Self;
+  const base::DataCentreId DataCentre;
+  const base::RegionId Region;
+  base::MetricsRegistry Metrics;
+  base::Timeline Events;
+};
+
+} // namespace node
+
+#endif // JACKDAW_NODE_RUNTIME_H
--- a/src/transport/types.h
+++ b/src/transport/types.h
@@ -10,7 +10,7 @@
 namespace transport {
 
 /// One connection to a peer. A number is never used again within a process.
-using ConnectionId = base::StrongNumber<struct ConnectionTag>;
+using ConnectionId = base::StrongNumber<struct PeerConnectionTag>;
 
 /// A message on a connection between two daemons. Types from 240 are reserved
 /// for the transport.
