--- a/src/execution/idempotencymessages.h
+++ b/src/execution/idempotencymessages.h
@@ -106,6 +106,13 @@
   }
 };
 
+/// Confirms that the owner has taken in an `IdempotencyFinish`.
+struct IdempotencyAck {
+  AttemptId Attempt;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Attempt); }
+};
+
 } // namespace execution
 
 #endif // JACKDAW_EXECUTION_IDEMPOTENCYMESSAGES_H
--- a/src/execution/tests/calltrackertest.cpp
+++ b/src/execution/tests/calltrackertest.cpp
@@ -19,7 +19,7 @@
   }
 
   CallIdentity send(bool Idempotent = false, base::Duration TimeLeft = 30s) {
-    const CallIdentity Call = open(Idempotent, TimeLeft);
+    CallIdentity Call = open(Idempotent, TimeLeft);
     REQUIRE(Tracker.sending(Call.Id, ConnectionId(++LastConnection)));
     return Call;
   }
