--- a/src/execution/handletable.h
+++ b/src/execution/handletable.h
@@ -45,6 +45,19 @@
 /// Context of a call that arrived at `Now`.
 RequestContext contextOf(const CallContext &Call, base::BootTime Now);
 
+/// A call that is to be made for a request, other than its identity.
+struct ChildSpec {
+  base::ServiceName Service;
+  bool Idempotent = false;
+  /// Units of the request's allowance that the call gets.
+  std::uint32_t RetryAllowance = 0;
+};
+
+/// Context of a call that leaves at `Now` for the request `Parent`, which is
+/// the root or belongs to a handle. The call inherits scope and deadline.
+CallContext childCall(const RequestContext &Parent, const ChildSpec &Spec,
+                      const CallIdentity &Identity, base::BootTime Now);
+
 /// Reads the text form of a handle, 32 hexadecimal digits. Fails with
 /// `HandleUnknown`.
 base::Result<base::Handle> parseHandle(std::string_view Text);
--- a/src/execution/internal/handletable.cpp
+++ b/src/execution/internal/handletable.cpp
@@ -2,6 +2,8 @@
 
 #include "execution/executiontable.h"
 
+#include <algorithm>
+
 namespace execution {
 
 base::Handle HandleTable::open(RequestContext Context) {
@@ -37,6 +39,21 @@
   return Context;
 }
 
+CallContext childCall(const RequestContext &Parent, const ChildSpec &Spec,
+                      const CallIdentity &Identity, base::BootTime Now) {
+  const auto TimeLeft = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::max(Parent.Deadline - Now, base::Duration::zero()));
+  CallContext Call;
+  Call.Identity = Identity;
+  Call.Scope = Parent.Scope;
+  Call.Service = Spec.Service;
+  Call.TimeLeftMicros = static_cast<std::uint64_t>(TimeLeft.count());
+  Call.RetryAllowance = Spec.RetryAllowance;
+  Call.Depth = static_cast<std::uint16_t>(Parent.Depth + 1);
+  Call.Idempotent = Spec.Idempotent;
+  return Call;
+}
+
 base::Result<base::Handle> parseHandle(std::string_view Text) {
   const auto Bytes = base::fromHex(Text);
   if (!Bytes)
--- a/src/execution/internal/types.cpp
+++ b/src/execution/internal/types.cpp
@@ -17,4 +17,8 @@
   return Answer;
 }
 
+base::Outcome combineOutcomes(base::Outcome Earlier, base::Outcome Latest) {
+  return Latest == base::Outcome::NotRun ? Earlier : Latest;
+}
+
 } // namespace execution
--- a/src/execution/messages.h
+++ b/src/execution/messages.h
@@ -43,7 +43,7 @@
   /// relative because the daemons' clocks differ.
   std::uint64_t TimeLeftMicros = 0;
   std::uint32_t RetryAllowance = 0;
-  /// Calls above this one; 0 at the root.
+  /// Number of calls from the root to here; 1 for the root's own call.
   std::uint16_t Depth = 0;
   bool Idempotent = false;
 
--- a/src/execution/tests/model.cpp
+++ b/src/execution/tests/model.cpp
@@ -200,30 +200,23 @@
   const auto For = From.ByCall.at(Settled.Id);
   const CallVerdict &Verdict = Settled.Verdict;
   ++Seen[std::string("call ") + base::outcomeName(Verdict.What).data()];
+  For->What = combineOutcomes(For->What, Verdict.What);
   if (Verdict.What == Outcome::NotRun)
     claimNotRun(Settled.Id);
-  else
-    For->MayHaveRun = true;
   if (Verdict.What == Outcome::Ran)
     REQUIRE(Executions[Settled.Id] == 1);
   if (Verdict.MayRetry && For->Calls.size() < 4)
     onProcess(From, upTo(100ms), [=, this, &From] { makeCall(From, For); });
   else
-    conclude(From, *For, Verdict);
+    conclude(From, *For);
 }
 
-void World::conclude(Entry &From, Attempt &Done, const CallVerdict &Verdict) {
-  // A retry that did not run says nothing about the tries before it.
-  const bool NotRun = Verdict.What == Outcome::NotRun && !Done.MayHaveRun;
+void World::conclude(Entry &From, Attempt &Done) {
   for (const base::RequestId &Call : Done.Calls)
-    if (NotRun)
+    if (Done.What == Outcome::NotRun)
       claimNotRun(Call);
-  if (!Done.Keyed)
-    return;
-  const Outcome What = Verdict.What == Outcome::Ran ? Outcome::Ran
-                       : NotRun                     ? Outcome::NotRun
-                                                    : Outcome::Unknown;
-  From.Attempts->finish(*Done.Keyed, What, Response{});
+  if (Done.Keyed)
+    From.Attempts->finish(*Done.Keyed, Done.What, Response{});
 }
 
 void World::claimNotRun(const base::RequestId &Call) {
--- a/src/execution/tests/model.h
+++ b/src/execution/tests/model.h
@@ -38,7 +38,7 @@
   Request *Of = nullptr;
   std::optional<AttemptId> Keyed;
   std::vector<base::RequestId> Calls;
-  bool MayHaveRun = false;
+  base::Outcome What = base::Outcome::NotRun;
 };
 
 /// A process that can be frozen and replaced by a new incarnation.
@@ -99,7 +99,7 @@
   void perform(Entry &From, const AttemptAction &Action);
   void sendFence(Entry &From, const Fence &Message);
   void onSettled(Entry &From, const CallSettled &Settled);
-  void conclude(Entry &From, Attempt &Done, const CallVerdict &Verdict);
+  void conclude(Entry &From, Attempt &Done);
   void claimNotRun(const base::RequestId &Call);
 
   void onCall(Server &At, const CallContext &Call, ConnectionId Over);
--- a/src/execution/types.h
+++ b/src/execution/types.h
@@ -58,6 +58,11 @@
 /// The answer of a daemon that refuses or gives up a call.
 Response errorResponse(base::ErrorKind Kind, base::Outcome What);
 
+/// Outcome of a request after a further try. A try that did not run says
+/// nothing about the tries before it, so one unknown outcome stays unless a
+/// later try brings a response. Start with `NotRun`.
+base::Outcome combineOutcomes(base::Outcome Earlier, base::Outcome Latest);
+
 } // namespace execution
 
 #endif // JACKDAW_EXECUTION_TYPES_H
