Count a response's size the same for its copies

Response::size used the string's capacity, which a copy doesn't keep. The idempotency table took memory by the size of the original and gave back that of its copy, so the shared budget shrank with each response. size now uses the length.

Measured: with the test changed to hand over a body with spare room, execution_tests fails before the change (1 of 24 cases) and passes after it.

--- a/src/execution/attempttracker.h
+++ b/src/execution/attempttracker.h
@@ -60,7 +60,8 @@
   /// Takes in the owner's reply. Replies that come late or twice are ignored.
   void replyArrived(const IdempotencyReply &Reply);
 
-  /// Reports the end of an attempt that was allowed to run.
+  /// Reports the end of an attempt that was allowed to run. Each of them has
+  /// to be reported, as `NotRun` if its caller left before the call was made.
   void finish(const AttemptId &Attempt, base::Outcome What,
               std::optional<Response> Answer);
 
--- a/src/execution/calltracker.h
+++ b/src/execution/calltracker.h
@@ -50,7 +50,8 @@
   bool MayRetry = false;
 };
 
-/// Send the fence over a new connection, opened for it if need be.
+/// Send the fence over a connection that is known to work, opened for it if
+/// need be, and report it with `fenceSent` or `connectFailed`.
 struct SendFence {
   Fence Message;
 };
--- a/src/execution/internal/types.cpp
+++ b/src/execution/internal/types.cpp
@@ -3,7 +3,7 @@
 namespace execution {
 
 std::size_t Response::size() const {
-  std::size_t Bytes = sizeof(Response) + Body.capacity();
+  std::size_t Bytes = sizeof(Response) + Body.size();
   for (const Header &Each : Headers)
     Bytes += sizeof(Header) + Each.Name.size() + Each.Value.size();
   return Bytes;
--- a/src/execution/tests/idempotencytabletest.cpp
+++ b/src/execution/tests/idempotencytabletest.cpp
@@ -44,8 +44,10 @@
               std::size_t BodySize = 0) {
     Response Answer;
     Answer.What = What;
+    // A copy has less spare room; the accounts must balance all the same.
+    Answer.Body.reserve(2 * BodySize);
     Answer.Body.assign(BodySize, 'x');
-    Table->finish({Key, Attempt, What, Answer});
+    Table->finish({Key, Attempt, What, std::move(Answer)});
   }
 };
 
--- a/src/execution/types.h
+++ b/src/execution/types.h
@@ -18,7 +18,8 @@
 
 namespace execution {
 
-/// A peer connection of this process, numbered by the transport.
+/// A peer connection of this process, numbered by the transport from 1. No
+/// number is used twice; 0 stands for no connection.
 using ConnectionId = base::StrongNumber<struct ConnectionTag>;
 
 /// Position of a call among all calls of its sending process. The sender
@@ -48,7 +49,7 @@
     Ar(What, Error, Status, Headers, Body, UnusedAllowance);
   }
 
-  /// Memory that the response takes, in bytes.
+  /// Memory that the response takes, in bytes, and the same for its copies.
   std::size_t size() const;
 };
 
