Check the idempotency owner's claims in the model test

The model test checked executions but not what the owner says about a key. It now also requires that a key refused for lack of memory has not executed, and that a key reported as finished has executed once.

--- a/src/execution/tests/model.cpp
+++ b/src/execution/tests/model.cpp
@@ -292,6 +292,16 @@
 void World::onBegin(Entry &From, const IdempotencyBegin &Message) {
   const IdempotencyReply Reply = Shard.Table->begin(Message);
   ++Seen["begin " + std::to_string(static_cast<int>(Reply.Verdict))];
+  // What the owner claims has to be true when it decides.
+  if (const auto Asking = From.ByAttempt.find(Message.Attempt);
+      Asking != From.ByAttempt.end()) {
+    using enum IdempotencyVerdict;
+    const int Count = Asking->second->Of->Executions;
+    if (Reply.Verdict == Full)
+      REQUIRE(Count == 0);
+    if (Reply.Verdict == Finished || Reply.Verdict == ResponseNotHeld)
+      REQUIRE(Count == 1);
+  }
   transmit(From, {}, [=, this, &From] {
     From.Attempts->replyArrived(Reply);
     drain(From);
