--- a/src/execution/types.h
+++ b/src/execution/types.h
@@ -18,7 +18,8 @@
 
 namespace execution {
 
-/// A peer connection of this process, numbered by the transport.
+/// A peer connection of this process, numbered by the transport from 1. No
+/// number is used twice; 0 stands for no connection.
 using ConnectionId = base::StrongNumber<struct ConnectionTag>;
 
 /// Position of a call among all calls of its sending process. The sender
@@ -48,7 +49,7 @@
     Ar(What, Error, Status, Headers, Body, UnusedAllowance);
   }
 
-  /// Memory that the response takes, in bytes.
+  /// Memory that the response takes, in bytes, and the same for its copies.
   std::size_t size() const;
 };
 
@@ -58,6 +59,11 @@
 /// The answer of a daemon that refuses or gives up a call.
 Response errorResponse(base::ErrorKind Kind, base::Outcome What);
 
+/// Outcome of a request after a further try. A try that did not run says
+/// nothing about the tries before it, so one unknown outcome stays unless a
+/// later try brings a response. Start with `NotRun`.
+base::Outcome combineOutcomes(base::Outcome Earlier, base::Outcome Latest);
+
 } // namespace execution
 
 #endif // JACKDAW_EXECUTION_TYPES_H
