--- a/src/overload/admissioncontroller.h
+++ b/src/overload/admissioncontroller.h
@@ -35,12 +35,14 @@
   bool admit(base::PriorityClass Class, std::uint8_t Value);
 
   /// Must be called for each entry that leaves the queue to run.
-  void started() { ++Started; }
+  void started() { Started += 1; }
 
   /// Must be called about every 10 ms.
   void tick(const ClassWaits &OldestWaits);
 
-  Level level() const { return Level::fromIndex(Index); }
+  Level level() const {
+    return Level::fromIndex(static_cast<std::uint32_t>(Position));
+  }
 
 private:
   void finishInterval();
@@ -51,18 +53,22 @@
 
   const base::Clock &Time;
   const AdmissionSettings Settings;
-  std::uint32_t Index = kLevelCount - 1;
-  /// Index at which the last overload was seen.
-  std::uint32_t OverloadIndex = kLevelCount - 1;
-  std::uint32_t Step = 1;
+  /// Index of the level with a fraction, so that steps may be small.
+  double Position = kLevelCount - 1;
+  /// Position at which the last overload would not have occurred.
+  double Sustainable = kLevelCount - 1;
+  double Step;
   /// Decaying numbers of requests by the index that just admits them.
   std::array<double, kLevelCount> Offered{};
-  std::uint32_t Admitted = 0;
-  std::uint32_t Started = 0;
-  /// Shortest of the oldest waits in this interval and in the one before.
+  double Admitted = 0;
+  double Started = 0;
+  /// Shortest of the oldest waits in this interval.
   ClassWaits ShortestWaits{};
+  /// Longest of them in the interval before.
   base::Duration WaitBefore{};
-  bool AnyTick = false;
+  /// Sum over the ticks of this interval of the longest current wait.
+  base::Duration WaitSum{};
+  int Ticks = 0;
   base::BootTime IntervalStart;
 };
 
--- a/src/overload/internal/admissioncontroller.cpp
+++ b/src/overload/internal/admissioncontroller.cpp
@@ -1,39 +1,47 @@
 #include "overload/admissioncontroller.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace overload {
 
 namespace {
 
-/// Weight of older intervals in the numbers of offered requests.
+/// Weight of older intervals in the numbers of requests.
 constexpr double kHistoryWeight = 0.7;
 
-/// Admitted requests after a raise, relative to those that the backend server
-/// took in the interval; the rest of its capacity drains the queue.
-constexpr double kLoadAfterRaise = 0.95;
-constexpr double kSmallestCut = 0.05;
+/// Admitted requests after a raise, relative to what the backend server takes;
+/// the rest of its capacity drains the queue.
+constexpr double kLoadAfterRaise = 0.92;
 constexpr double kLargestCut = 0.5;
 
 /// A wait that has fallen to this share shows that the last raise works.
-constexpr double kFallingWait = 0.9;
+constexpr double kFallingWait = 0.95;
 
-/// Part of the way to the last overload that one calm interval covers.
-constexpr std::uint32_t kApproachDivisor = 4;
+/// Part of the way to the sustainable level that one calm interval covers.
+constexpr double kApproach = 0.5;
+
+/// First step beyond the sustainable level, and its growth per calm interval.
+constexpr double kFirstStep = 0.3;
+constexpr double kStepGrowth = 1.3;
+
+/// Part of the target delay that must be unused for steps to grow.
+constexpr double kAmpleRoom = 0.75;
+
+constexpr double kOpenPosition = kLevelCount - 1;
 
 } // namespace
 
 AdmissionController::AdmissionController(const base::Clock &Time,
                                          AdmissionSettings Settings)
-    : Time(Time), Settings(Settings), IntervalStart(Time.now()) {}
+    : Time(Time), Settings(Settings), Step(kFirstStep),
+      IntervalStart(Time.now()) {}
 
 bool AdmissionController::admit(base::PriorityClass Class, std::uint8_t Value) {
   const std::uint8_t Bounded = std::min<std::uint8_t>(Value, kValueCount - 1);
   Offered[Level{Class, Bounded}.index()] += 1;
   if (!level().admits(Class, Bounded))
     return false;
-  ++Admitted;
+  Admitted += 1;
   return true;
 }
 
@@ -41,9 +49,10 @@
   for (std::size_t Class = 0; Class < OldestWaits.size(); ++Class) {
     base::Duration &Shortest = ShortestWaits[Class];
     Shortest =
-        AnyTick ? std::min(Shortest, OldestWaits[Class]) : OldestWaits[Class];
+        Ticks > 0 ? std::min(Shortest, OldestWaits[Class]) : OldestWaits[Class];
   }
-  AnyTick = true;
+  ++Ticks;
+  WaitSum += *std::max_element(OldestWaits.begin(), OldestWaits.end());
   if (Time.now() - IntervalStart >= Settings.Interval)
     finishInterval();
 }
@@ -62,9 +71,10 @@
   }
   for (double &Count : Offered)
     Count *= kHistoryWeight;
-  Admitted = 0;
-  Started = 0;
-  AnyTick = false;
+  Admitted *= kHistoryWeight;
+  Started *= kHistoryWeight;
+  Ticks = 0;
+  WaitSum = {};
   IntervalStart = Time.now();
 }
 
@@ -72,28 +82,34 @@
                                   base::Duration Wait) {
   const bool Falling = Wait < WaitBefore * kFallingWait;
   WaitBefore = Wait;
+  Step = kFirstStep;
   if (Falling)
     return;
-  const double Load = Admitted == 0 ? 1.0 : double(Started) / Admitted;
-  const double Cut =
-      std::clamp(1 - kLoadAfterRaise * Load, kSmallestCut, kLargestCut);
-  const std::uint32_t Floor = Level{Delayed, 0}.index();
-  OverloadIndex = Index;
-  Step = 1;
-  Index = std::max(std::min(Floor, Index), indexWithout(Cut));
+  const double Load = Admitted == 0 ? 1.0 : std::min(1.0, Started / Admitted);
+  const double Kept = std::max(kLoadAfterRaise * Load, kLargestCut);
+  const std::uint32_t Index = level().index();
+  const std::uint32_t Floor = std::min(Level{Delayed, 0}.index(), Index);
+  Sustainable = std::max(Floor, indexWithout(1 - Load));
+  Position = std::max(Floor, indexWithout(1 - Kept));
+  // Requests admitted before the raise would make the next one too strict.
+  Admitted = 0;
+  Started = 0;
 }
 
 void AdmissionController::loosen() {
-  if (Index < OverloadIndex) {
-    const std::uint32_t Way = (OverloadIndex - Index) / kApproachDivisor;
-    Index += std::max<std::uint32_t>(Way, 1);
+  if (Position + 1 < Sustainable) {
+    Position += kApproach * (Sustainable - Position);
     return;
   }
-  Index = std::min(Index + Step, kLevelCount - 1);
-  Step *= 2;
+  // A queue that begins to build up shows that the level is nearly right.
+  const double MeanWait = double(WaitSum.count()) / Ticks;
+  const double Room = 1 - MeanWait / double(Settings.Target.count());
+  Step = Room > kAmpleRoom ? Step * kStepGrowth : kFirstStep;
+  Position = std::min(Position + Step * std::max(Room, 0.0), kOpenPosition);
 }
 
 std::uint32_t AdmissionController::indexWithout(double Share) const {
+  const std::uint32_t Index = level().index();
   double Total = 0;
   for (std::uint32_t At = 0; At <= Index; ++At)
     Total += Offered[At];
