Bound cuts of the concurrency limit to 30 %

Cause: a cut by half below the cores cost half the throughput for a window, and its estimate of the old limit was low for small samples, so a slowed backend server ran with too few slots for seconds. A window without demand up to the limit confirmed a cut, although it proves nothing.

--- a/src/overload/internal/adaptivelimit.cpp
+++ b/src/overload/internal/adaptivelimit.cpp
@@ -28,8 +28,8 @@
 constexpr double kGrowthRatio = 1.2;
 constexpr double kCutRatio = 1.5;
 constexpr double kRatioAfterCut = 1.3;
-constexpr double kGrowthShare = 0.1;
-constexpr double kDeepestCut = 0.5;
+constexpr double kGrowthShare = 0.2;
+constexpr double kDeepestCut = 0.7;
 constexpr double kProbeFactor = 0.7;
 
 /// Share of the throughput that remains after a cut which cost no capacity.
@@ -144,12 +144,16 @@
 // Below the capacity, throughput falls with the calls in flight; above it,
 // fewer calls in flight cost nothing.
 void AdaptiveLimit::compareWithBefore() {
-  const bool Probed = State == Phase::Probe;
   State = Phase::Steady;
   const double Kept =
       Current.throughput() / std::max(Before.throughput(), kSmallestThroughput);
   const bool Measured = Current.Responses > 0;
-  if (Kept >= kKeptThroughput || !Current.saturated()) {
+  // Without demand up to the limit, the window proves nothing.
+  if (!Current.saturated()) {
+    changeLimit(LimitBefore);
+    return;
+  }
+  if (Kept >= kKeptThroughput) {
     HeldBeforeProbe = kWindowsHeldBeforeProbe;
     if (Measured)
       Base = std::min(Base, Current.meanLatency());
@@ -159,8 +163,7 @@
   if (Measured)
     Base = Current.meanLatency();
   BaseFailures = std::max(BaseFailures, Current.failureShare());
-  const double Knee = Limit / std::max(Kept, kDeepestCut);
-  changeLimit(Probed ? LimitBefore : std::min(Knee, LimitBefore));
+  changeLimit(LimitBefore);
 }
 
 void AdaptiveLimit::adjust() {
