Await the effect of a raised admission level

Cause: a level was raised again while the queue still drained, down to idle capacity; whether the delay falls is too noisy at 16 calls per interval. Ruled out: the slots of the deep service, which were right. The level now waits three intervals and compares admitted with started requests.

--- a/src/overload/admissioncontroller.h
+++ b/src/overload/admissioncontroller.h
@@ -46,7 +46,7 @@
 
 private:
   void finishInterval();
-  void tighten(base::PriorityClass Delayed, base::Duration Wait);
+  void tighten(base::PriorityClass Delayed);
   void loosen();
   /// Index that removes `Share` of the requests that the level admits.
   std::uint32_t indexWithout(double Share) const;
@@ -64,8 +64,7 @@
   double Started = 0;
   /// Shortest of the oldest waits in this interval.
   ClassWaits ShortestWaits{};
-  /// Longest of them in the interval before.
-  base::Duration WaitBefore{};
+  int IntervalsSinceRaise = 0;
   /// Sum over the ticks of this interval of the longest current wait.
   base::Duration WaitSum{};
   int Ticks = 0;
--- a/src/overload/internal/admissioncontroller.cpp
+++ b/src/overload/internal/admissioncontroller.cpp
@@ -14,8 +14,12 @@
 constexpr double kLoadAfterRaise = 0.92;
 constexpr double kLargestCut = 0.5;
 
-/// A wait that has fallen to this share shows that the last raise works.
-constexpr double kFallingWait = 0.95;
+/// Below this ratio of admitted requests to those that the backend server took,
+/// the queue drains and the level is kept.
+constexpr double kDrainingLoad = 0.97;
+
+/// Intervals after a raise in which its effect is awaited.
+constexpr int kIntervalsPerRaise = 3;
 
 /// Part of the way to the sustainable level that one calm interval covers.
 constexpr double kApproach = 0.5;
@@ -58,16 +62,14 @@
 }
 
 void AdmissionController::finishInterval() {
+  ++IntervalsSinceRaise;
   const auto Delayed = std::find_if(
       ShortestWaits.begin(), ShortestWaits.end(),
       [this](base::Duration Wait) { return Wait > Settings.Target; });
   if (Delayed == ShortestWaits.end()) {
-    WaitBefore = {};
     loosen();
   } else {
-    const auto Class =
-        static_cast<base::PriorityClass>(Delayed - ShortestWaits.begin());
-    tighten(Class, *std::max_element(Delayed, ShortestWaits.end()));
+    tighten(static_cast<base::PriorityClass>(Delayed - ShortestWaits.begin()));
   }
   for (double &Count : Offered)
     Count *= kHistoryWeight;
@@ -78,13 +80,12 @@
   IntervalStart = Time.now();
 }
 
-void AdmissionController::tighten(base::PriorityClass Delayed,
-                                  base::Duration Wait) {
-  const bool Falling = Wait < WaitBefore * kFallingWait;
-  WaitBefore = Wait;
+void AdmissionController::tighten(base::PriorityClass Delayed) {
   Step = kFirstStep;
-  if (Falling)
+  if (IntervalsSinceRaise < kIntervalsPerRaise ||
+      Admitted < kDrainingLoad * Started)
     return;
+  IntervalsSinceRaise = 0;
   const double Load = Admitted == 0 ? 1.0 : std::min(1.0, Started / Admitted);
   const double Kept = std::max(kLoadAfterRaise * Load, kLargestCut);
   const std::uint32_t Index = level().index();
