--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -16,6 +16,8 @@
 const std::vector<Scenario> kScenarios{
     {"no trigger"},
     {.Name = "deep service 5x slower", .DeepSlowdown = 5},
+    {.Name = "same, 4 deep calls", .DeepSlowdown = 5, .DeepCalls = 4},
+    {.Name = "same, half avoid it", .DeepSlowdown = 5, .ShortShare = 0.5},
     {.Name = "demand 3x", .DemandFactor = 3},
     {.Name = "2x slower, hard retries",
      .DeepSlowdown = 2,
--- a/bench/overload/metrics.cpp
+++ b/bench/overload/metrics.cpp
@@ -51,11 +51,14 @@
   for (std::size_t Class = 0; Class < kClassShares.size(); ++Class) {
     std::vector<double> Demands;
     for (std::size_t Owner = 0; Owner < kWorkspaces; ++Owner)
-      Demands.push_back(demandOf(Case, true, Owner, Class));
+      Demands.push_back((1 - Case.ShortShare) *
+                        demandOf(Case, true, Owner, Class));
     const double Cap = fairCap(Demands, Left);
     for (std::size_t Owner = 0; Owner < kWorkspaces; ++Owner) {
       Shares[Owner][Class] = std::min(Demands[Owner], Cap);
       Left -= Shares[Owner][Class];
+      Shares[Owner][Class] +=
+          Case.ShortShare * demandOf(Case, true, Owner, Class);
     }
     Left = std::max(Left, 0.0);
   }
--- a/bench/overload/metrics.h
+++ b/bench/overload/metrics.h
@@ -39,7 +39,8 @@
 
 /// Fair shares in requests per second during the trigger: capacity goes to the
 /// classes in order of priority, and within a class to the workspaces by
-/// max-min fairness.
+/// max-min fairness. Requests on the short route do not use the last service
+/// and are all within their share.
 Counts fairShares(const Scenario &Case);
 
 Figures evaluate(const Scenario &Case, const Observations &Seen);
--- a/bench/overload/node.cpp
+++ b/bench/overload/node.cpp
@@ -18,8 +18,6 @@
 
 } // namespace
 
-overload::RouteName route() { return overload::RouteName("chain"); }
-
 Node::Node(const base::Clock &Time, const Variant &Mechanisms)
     : Admission(Time, {}), Levels(Time), Time(Time), Mechanisms(Mechanisms),
       Limit(makeLimit(Time, Mechanisms.Limit)), Queue(Time, {}) {}
@@ -95,8 +93,8 @@
   return Limit->inFlight() + Queue.size() + PlainQueue.size();
 }
 
-overload::Level Node::responseLevel() const {
-  return Levels.responseLevel(route(), Admission.level());
+overload::Level Node::responseLevel(const overload::RouteName &Route) const {
+  return Levels.responseLevel(Route, Admission.level());
 }
 
 } // namespace bench
--- a/bench/overload/node.h
+++ b/bench/overload/node.h
@@ -45,7 +45,7 @@
 
   void tick();
   std::size_t load() const;
-  overload::Level responseLevel() const;
+  overload::Level responseLevel(const overload::RouteName &Route) const;
 
   overload::AdmissionController Admission;
   overload::RouteLevels Levels;
@@ -66,9 +66,6 @@
   std::unordered_map<base::RequestId, base::BootTime> StartedAt;
 };
 
-/// The only route of the chain.
-overload::RouteName route();
-
 } // namespace bench
 
 #endif // JACKDAW_BENCH_OVERLOAD_NODE_H
--- a/bench/overload/scenario.h
+++ b/bench/overload/scenario.h
@@ -45,6 +45,10 @@
   /// Factor on the work of the last service.
   double DeepSlowdown = 1;
   double DemandFactor = 1;
+  /// Calls of each request to the last service, which share its work there.
+  int DeepCalls = 1;
+  /// Share of the requests that take a route which ends at the second service.
+  double ShortShare = 0;
   /// Additional factor on the demand of the last workspace.
   double HogFactor = 1;
   int MaxRetries = 1;
--- a/bench/overload/world.cpp
+++ b/bench/overload/world.cpp
@@ -17,8 +17,15 @@
 constexpr int kTickMs = 10;
 constexpr int kStaleMs = 1000;
 
-overload::RouteKey routeOf(int Service) {
-  return {base::ServiceName("service" + std::to_string(Service)), route()};
+constexpr int kLastOfShortRoute = 1;
+
+overload::RouteName routeEndingAt(int LastService) {
+  return overload::RouteName("to" + std::to_string(LastService));
+}
+
+overload::RouteKey keyOf(int Service, int LastService) {
+  return {base::ServiceName("service" + std::to_string(Service)),
+          routeEndingAt(LastService)};
 }
 
 base::WorkspaceName nameOf(std::size_t Owner) {
@@ -72,7 +79,8 @@
       int Count = boost::random::poisson_distribution<int>(PerMs)(Engine);
       for (; Count > 0; --Count)
         begin({Owner, static_cast<base::PriorityClass>(Class), NowMs,
-               Case.MaxRetries});
+               Case.MaxRetries,
+               unit() < Case.ShortShare ? kLastOfShortRoute : kServices - 1});
     }
   }
   const auto Due = Retries.upper_bound(NowMs);
@@ -90,6 +98,7 @@
   Root.Bytes = Id.Bytes;
   Attempt New;
   New.Origin = Origin;
+  New.DeepCallsLeft = Case.DeepCalls;
   New.Deadline = Clock.now() + std::chrono::milliseconds(kDeadlineMs);
   New.Entry = std::min<std::size_t>(kEntries * unit(), kEntries - 1);
   EntryDaemon &Entry = *Entries[New.Entry];
@@ -98,8 +107,8 @@
                                      overload::valuePeriod(Clock.wallNow()));
   if (Mechanisms.Correction)
     New.Value = Entry.Demand.correctedValue(Name, Origin.Class, New.Value);
-  if (Mechanisms.Admission &&
-      !Entry.Table.admits(routeOf(0), Origin.Class, New.Value)) {
+  if (Mechanisms.Admission && !Entry.Table.admits(keyOf(0, Origin.LastService),
+                                                  Origin.Class, New.Value)) {
     lose(Origin);
     return;
   }
@@ -134,27 +143,33 @@
 void World::startCalls(int Service, Node &Daemon) {
   const bool Deep = Service == kServices - 1;
   const double Slowdown = Deep && triggered() ? Case.DeepSlowdown : 1;
+  const double MeanMs = Slowdown * kMeanWorkMs / (Deep ? Case.DeepCalls : 1);
   while (const auto Next = Daemon.next()) {
     const auto Found = Attempts.find(Next->Entry.Id);
     if (Found != Attempts.end())
       Found->second.Waited += Next->Waited;
-    Daemon.start(Next->Entry.Id, Slowdown * kMeanWorkMs * (0.5 + unit()));
+    Daemon.start(Next->Entry.Id, MeanMs * (0.5 + unit()));
   }
 }
 
 void World::workDone(const base::RequestId &Id) {
   Attempt &Each = Attempts.at(Id);
-  if (Each.Depth == kServices - 1) {
+  if (Each.Depth < Each.Origin.LastService) {
+    ++Each.Depth;
+    call(Id);
+  } else if (Each.Depth == kServices - 1 && --Each.DeepCallsLeft > 0) {
+    Services[Each.Depth][Each.Nodes[Each.Depth]]->finish(
+        Id, overload::CallEnd::Responded);
+    reportLevel(Each, Each.Depth);
+    call(Id);
+  } else {
     respond(Id);
-    return;
   }
-  ++Each.Depth;
-  call(Id);
 }
 
 void World::respond(const base::RequestId &Id) {
   const Attempt Each = Attempts.at(Id);
-  unwind(Id, kServices - 1, overload::CallEnd::Responded);
+  unwind(Id, Each.Depth, overload::CallEnd::Responded);
   if (Clock.now() <= Each.Deadline)
     record(Each.Origin, true);
 }
@@ -178,14 +193,15 @@
 }
 
 void World::reportLevel(const Attempt &Each, int Depth) {
+  const overload::RouteName Route = routeEndingAt(Each.Origin.LastService);
+  const overload::RouteKey Key = keyOf(Depth, Each.Origin.LastService);
   const overload::Level Reported =
-      Services[Depth][Each.Nodes[Depth]]->responseLevel();
-  if (Depth == 0) {
-    Entries[Each.Entry]->Table.learn(routeOf(0), Reported);
-    return;
-  }
-  Services[Depth - 1][Each.Nodes[Depth - 1]]->Levels.learn(
-      route(), routeOf(Depth), Reported);
+      Services[Depth][Each.Nodes[Depth]]->responseLevel(Route);
+  if (Depth == 0)
+    Entries[Each.Entry]->Table.learn(Key, Reported);
+  else
+    Services[Depth - 1][Each.Nodes[Depth - 1]]->Levels.learn(Route, Key,
+                                                             Reported);
 }
 
 // Without the mechanisms the caller gives up, but the work goes on.
--- a/bench/overload/world.h
+++ b/bench/overload/world.h
@@ -33,6 +33,7 @@
     base::PriorityClass Class = base::PriorityClass::Normal;
     int BornMs = 0;
     int RetriesLeft = 0;
+    int LastService = kServices - 1;
   };
 
   /// One attempt of a request on its way along the chain.
@@ -43,6 +44,7 @@
     std::size_t Entry = 0;
     /// Service that the attempt has reached, and the nodes taken.
     int Depth = 0;
+    int DeepCallsLeft = 1;
     std::array<std::size_t, kServices> Nodes{};
     base::Duration Waited{};
   };
