--- /dev/null
+++ b/src/ownership/internal/successorduty.cpp
@@ -0,0 +1,83 @@
+#include "ownership/internal/successorduty.h"
+
+#include <utility>
+
+namespace ownership {
+
+namespace {
+
+// Silence of the owner after which its successor takes over. Longer than the
+// validity, so that an owner whose pings are lost has usually stopped by
+// itself.
+constexpr base::Duration kOwnerSilence = std::chrono::seconds(6);
+
+// Silence after which a log read is asked for, as a takeover needs a recent
+// one.
+constexpr base::Duration kSuspicion = std::chrono::seconds(4);
+
+} // namespace
+
+SuccessorDuty::SuccessorDuty(base::ProcessId Self) : Self(std::move(Self)) {}
+
+void SuccessorDuty::update(const ShardId &Shard, const ShardEntry *Entry,
+                           base::BootTime Now) {
+  if (!Entry || !Entry->Owner || Entry->Successor != Self) {
+    Entries.erase(Shard);
+    return;
+  }
+  auto Found = Entries.find(Shard);
+  if (Found != Entries.end() && Found->second.Version == Entry->Version)
+    return;
+  Entries.insert_or_assign(
+      Shard, SucceededShard{*Entry->Owner, Entry->Version, Now, false});
+}
+
+void SuccessorDuty::notePause(base::BootTime Now) {
+  for (auto &[Shard, Entry] : Entries)
+    Entry.LastHeard = Now;
+}
+
+std::optional<SuccessorAck> SuccessorDuty::answer(const SuccessorPing &Ping,
+                                                  const Candidates &Members,
+                                                  base::BootTime Now) {
+  if (Ping.To != Self || Members.isReplaced(Ping.From))
+    return std::nullopt;
+  SuccessorAck Ack{Self, Ping.From, Ping.Sequence, {}};
+  for (const ShardVersion &Pinged : Ping.Shards) {
+    auto Found = Entries.find(Pinged.Shard);
+    if (Found == Entries.end() || Found->second.Owner != Ping.From)
+      continue;
+    Found->second.LastHeard = Now;
+    if (Found->second.TakingOver || Found->second.Version != Pinged.Version)
+      continue;
+    Ack.Shards.push_back(Pinged);
+  }
+  if (Ack.Shards.empty())
+    return std::nullopt;
+  return Ack;
+}
+
+std::vector<ShardId> SuccessorDuty::silent(base::BootTime Now) const {
+  std::vector<ShardId> Result;
+  for (const auto &[Shard, Entry] : Entries) {
+    if (Entry.TakingOver || Now >= Entry.LastHeard + kOwnerSilence)
+      Result.push_back(Shard);
+  }
+  return Result;
+}
+
+ClaimedShard SuccessorDuty::beginTakeover(const ShardId &Shard) {
+  SucceededShard &Entry = Entries.at(Shard);
+  Entry.TakingOver = true;
+  return {Shard, ClaimBasis::Takeover, Entry.Version};
+}
+
+bool SuccessorDuty::needsLogRead(base::BootTime Now) const {
+  for (const auto &[Shard, Entry] : Entries) {
+    if (Now >= Entry.LastHeard + kSuspicion)
+      return true;
+  }
+  return false;
+}
+
+} // namespace ownership
