Add fleet-wide rate limits

A limit is divided into slices, each with one owner. LimitTable applies the lower of old and new limits for 15 s; a moved slice has none for that time.

--- /dev/null
+++ b/src/ratelimit/limittable.h
@@ -0,0 +1,83 @@
+#ifndef JACKDAW_RATELIMIT_LIMITTABLE_H
+#define JACKDAW_RATELIMIT_LIMITTABLE_H
+
+#include "ratelimit/placement.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace ratelimit {
+
+/// All limits of a configuration.
+struct FleetLimits {
+  struct Entry {
+    base::ServiceName Service;
+    base::WorkspaceName Workspace;
+    Limit Whole;
+  };
+
+  Placement Where;
+  std::vector<Entry> Limits;
+};
+
+/// What a grantor may give out for a slice now.
+struct AllowedSlice {
+  double RatePerSecond = 0;
+  double Burst = 0;
+  /// A bucket made now held nothing before this time, because the slice may
+  /// have been granted elsewhere.
+  base::BootTime EmptyUntil;
+};
+
+/// The limits in force at this daemon with those of the last `kLimitOverlap`.
+class LimitTable {
+public:
+  /// Adopts a configuration. `KnownAge` matters only for the first one of this
+  /// process: how long it has surely been in force in the fleet. Nothing is
+  /// granted until the rest of `kLimitOverlap` has passed.
+  void adopt(const FleetLimits &Limits, base::BootTime Now,
+             base::Duration KnownAge);
+
+  /// The limit in force; null if there is none.
+  const Limit *find(LimitId Id) const;
+
+  const Placement &placement() const { return Where; }
+
+  /// Grows with each change of the placement; 0 before the first adoption.
+  std::uint64_t placementVersion() const { return PlacementVersion; }
+
+  /// The lowest rate and burst that `Shard` has for slice `Index` in any
+  /// configuration of the last `kLimitOverlap`.
+  AllowedSlice allowed(LimitId Id, const ownership::ShardId &Shard,
+                       std::uint16_t Index, base::BootTime Now) const;
+
+private:
+  struct PastLimit {
+    Limit Whole;
+    base::BootTime Until;
+  };
+  struct PastPlacement {
+    Placement Where;
+    base::BootTime Until;
+  };
+  struct Row {
+    Limit Whole;
+    bool InForce = false;
+    std::vector<PastLimit> Past;
+    /// When the last change of the number of slices is over.
+    base::BootTime SlicesSettle;
+  };
+
+  void change(Row &Current, const Limit &Whole, base::BootTime Now);
+  void prune(base::BootTime Now);
+
+  Placement Where;
+  std::vector<PastPlacement> PastPlacements;
+  std::unordered_map<LimitId, Row> Rows;
+  base::BootTime PlacementSettles;
+  std::uint64_t PlacementVersion = 0;
+};
+
+} // namespace ratelimit
+
+#endif // JACKDAW_RATELIMIT_LIMITTABLE_H
--- /dev/null
+++ b/src/ratelimit/types.h
@@ -0,0 +1,45 @@
+#ifndef JACKDAW_RATELIMIT_TYPES_H
+#define JACKDAW_RATELIMIT_TYPES_H
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "ownership/types.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace ratelimit {
+
+/// Stable hash of a service and a workspace; stands for their limit in
+/// messages. At 130,000 limits two collide with a probability below 1e-9.
+using LimitId = base::StrongNumber<struct LimitIdTag>;
+
+/// A permit can't be used later than this after the sending of its request.
+inline constexpr base::Duration kPermitExpiry = std::chrono::seconds(1);
+
+/// The grantor counts a permit of unknown fate as outstanding for this long.
+inline constexpr base::Duration kOutstandingTime = std::chrono::seconds(2);
+
+/// For how long after adoption the lower of the old and new limits applies.
+/// Exceeds the time in which all daemons adopt a configuration (10 s).
+inline constexpr base::Duration kLimitOverlap = std::chrono::seconds(15);
+
+/// Fleet-wide limit of a workspace at a service.
+struct Limit {
+  double RatePerSecond = 0;
+  double Burst = 0;
+
+  friend bool operator==(const Limit &, const Limit &) = default;
+};
+
+/// The part of a limit that one shard grants.
+struct LimitSlice {
+  ownership::ShardId Shard;
+  double RatePerSecond = 0;
+  /// A whole number, as permits are; the slices' bursts add up to the limit's.
+  double Burst = 0;
+};
+
+} // namespace ratelimit
+
+#endif // JACKDAW_RATELIMIT_TYPES_H
