--- a/src/ratelimit/internal/permitpool.cpp
+++ b/src/ratelimit/internal/permitpool.cpp
@@ -169,6 +169,15 @@
   return Wait.Answered ? TakeStatus::RateExceeded : TakeStatus::Unavailable;
 }
 
+std::optional<base::Duration>
+PermitPool::nextPermitIn(const base::ServiceName &Service,
+                         const base::WorkspaceName &Workspace) const {
+  auto Found = Impl->Entries.find(limitId(Service, Workspace));
+  if (Found == Impl->Entries.end())
+    return base::Duration();
+  return Found->second.Hints.nextPermitIn(Time.now());
+}
+
 PermitRequest &PermitPool::messageTo(const ownership::ShardId &Shard) {
   PermitRequest &Message = Impl->Outbox[Shard];
   if (Message.Sequence == 0) {
--- a/src/ratelimit/internal/slicehints.cpp
+++ b/src/ratelimit/internal/slicehints.cpp
@@ -58,6 +58,19 @@
   return Result;
 }
 
+std::optional<base::Duration>
+SliceHints::nextPermitIn(base::BootTime Now) const {
+  const std::vector<Choice> Reachable = choices(Now);
+  if (Reachable.empty() || SliceRate <= 0)
+    return std::nullopt;
+  double Fullest = 0;
+  for (const Choice &One : Reachable)
+    Fullest = std::max(Fullest, One.Level);
+  const double Seconds = std::max(0.0, 1 - Fullest) / SliceRate;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(std::min(Seconds, 3600.0)));
+}
+
 void SliceHints::heard(std::uint16_t Slice, double Level, base::BootTime Now) {
   if (Slice >= Slices.size())
     return;
--- a/src/ratelimit/internal/slicehints.h
+++ b/src/ratelimit/internal/slicehints.h
@@ -3,6 +3,7 @@
 
 #include "ratelimit/placement.h"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +32,10 @@
   /// Reachable slices, nearest first, then by level.
   std::vector<Choice> choices(base::BootTime Now) const;
 
+  /// Time until a reachable slice probably has a permit; nothing if there is
+  /// none.
+  std::optional<base::Duration> nextPermitIn(base::BootTime Now) const;
+
   double sliceBurst() const { return Slices.empty() ? 0 : Slices[0].Burst; }
 
   void heard(std::uint16_t Slice, double Level, base::BootTime Now);
--- a/src/ratelimit/permitpool.h
+++ b/src/ratelimit/permitpool.h
@@ -70,6 +70,12 @@
   /// has come in meanwhile, otherwise a refusal.
   TakeStatus finish(const PermitWait &Wait);
 
+  /// Time until some slice probably has a permit again, for `Retry-After` and
+  /// for a short wait before the refusal; nothing if no slice can be reached.
+  std::optional<base::Duration>
+  nextPermitIn(const base::ServiceName &Service,
+               const base::WorkspaceName &Workspace) const;
+
   /// Messages with asks for expected requests and reports. To be called about
   /// every 10 ms and sent to the owners of their shards.
   std::vector<PermitRequest> tick();
--- a/src/ratelimit/tests/modeltest.cpp
+++ b/src/ratelimit/tests/modeltest.cpp
@@ -73,8 +73,10 @@
 
 // Refused share at 80 % of the rate without faults.
 double refusedAtFourFifths(const std::string &Name, const Limit &Whole,
-                           std::vector<double> (*Spread)(double)) {
+                           std::vector<double> (*Spread)(double),
+                           base::Duration LongestWait = {}) {
   ModelWorld World(7, Whole, {});
+  World.allowWait(LongestWait);
   World.run(60s, Spread(Whole.RatePerSecond * 0.8));
   return report(Name, Whole, World);
 }
@@ -111,6 +113,10 @@
   const Limit Whole{20, 5};
   refusedAtFourFifths("small burst, one daemon", Whole, atOneDaemon);
   refusedAtFourFifths("small burst, evenly", Whole, evenly);
+  refusedAtFourFifths("small burst, one daemon, waits up to 100 ms", Whole,
+                      atOneDaemon, 100ms);
+  refusedAtFourFifths("small burst, evenly, waits up to 100 ms", Whole, evenly,
+                      100ms);
   ModelWorld World(3, Whole, {});
   World.run(60s, evenly(4));
   CHECK(report("small burst, a fifth of the rate", Whole, World) <=
--- a/src/ratelimit/tests/modelworld.cpp
+++ b/src/ratelimit/tests/modelworld.cpp
@@ -218,40 +218,53 @@
 void ModelWorld::arrive(std::size_t Daemon) {
   ++Counts.Offered;
   countIdeal();
+  tryOnce(Daemon, true);
+}
+
+void ModelWorld::tryOnce(std::size_t Daemon, bool MayWait) {
   TakeResult Result = Daemons[Daemon].Pool->tryTake(kService, kWorkspace);
   if (Result.Status == TakeStatus::Taken)
     use();
   else if (Result.Status == TakeStatus::MustAsk)
-    ask(Daemon, std::make_shared<PermitWait>(std::move(Result.Wait)));
+    ask(Daemon, std::make_shared<PermitWait>(std::move(Result.Wait)), MayWait);
+  else
+    refuse(Daemon, MayWait);
+}
+
+void ModelWorld::refuse(std::size_t Daemon, bool MayWait) {
+  const auto Next = Daemons[Daemon].Pool->nextPermitIn(kService, kWorkspace);
+  if (MayWait && Next && *Next < LongestWait)
+    on(Daemon, *Next + kStep, [this, Daemon] { tryOnce(Daemon, false); });
   else
     ++Counts.Refused;
 }
 
 void ModelWorld::ask(std::size_t Daemon,
-                     const std::shared_ptr<PermitWait> &Wait) {
+                     const std::shared_ptr<PermitWait> &Wait, bool MayWait) {
   const auto Request = Daemons[Daemon].Pool->nextAsk(*Wait);
   if (!Request) {
     if (Daemons[Daemon].Pool->finish(*Wait) == TakeStatus::Taken)
       use();
     else
-      ++Counts.Refused;
+      refuse(Daemon, MayWait);
     return;
   }
   auto Done = std::make_shared<bool>(false);
-  send(Daemon, *Request, [this, Daemon, Wait, Done](const PermitGrant &Grant) {
-    if (std::exchange(*Done, true))
-      Daemons[Daemon].Pool->granted(Grant);
-    else if (Daemons[Daemon].Pool->answered(*Wait, Grant))
-      use();
-    else
-      ask(Daemon, Wait);
-  });
+  send(Daemon, *Request,
+       [this, Daemon, Wait, Done, MayWait](const PermitGrant &Grant) {
+         if (std::exchange(*Done, true))
+           Daemons[Daemon].Pool->granted(Grant);
+         else if (Daemons[Daemon].Pool->answered(*Wait, Grant))
+           use();
+         else
+           ask(Daemon, Wait, MayWait);
+       });
   on(Daemon, kAskTimeout,
-     [this, Daemon, Wait, Done, Number = Request->Sequence] {
+     [this, Daemon, Wait, Done, MayWait, Number = Request->Sequence] {
        if (std::exchange(*Done, true))
          return;
        Daemons[Daemon].Pool->undelivered(Number);
-       ask(Daemon, Wait);
+       ask(Daemon, Wait, MayWait);
      });
 }
 
--- a/src/ratelimit/tests/modelworld.h
+++ b/src/ratelimit/tests/modelworld.h
@@ -57,6 +57,10 @@
 
   /// Empty, or when the uses exceeded rate and burst.
   const std::string &violation() const { return Violation; }
+  /// Lets requests wait once for the next permit if it should come within
+  /// `Longest`.
+  void allowWait(base::Duration Longest) { LongestWait = Longest; }
+
   const ModelCounts &counts() const { return Counts; }
   void resetCounts() { Counts = {}; }
 
@@ -81,7 +85,10 @@
   void changeLimits();
   void assignOwners();
   void arrive(std::size_t Daemon);
-  void ask(std::size_t Daemon, const std::shared_ptr<PermitWait> &Wait);
+  void tryOnce(std::size_t Daemon, bool MayWait);
+  void ask(std::size_t Daemon, const std::shared_ptr<PermitWait> &Wait,
+           bool MayWait);
+  void refuse(std::size_t Daemon, bool MayWait);
   void send(std::size_t From, const PermitRequest &Request,
             const std::function<void(const PermitGrant &)> &Reply);
   void transfer(std::size_t From, std::size_t To,
@@ -103,6 +110,7 @@
   base::BootTime IdealAt;
   base::BootTime ReferenceAt;
   double Loss;
+  base::Duration LongestWait{};
   base::BootTime NextChange;
   std::uint64_t LastTerm = 0;
   std::string Violation;
