Sharpen the ownership model test and measure the takeover time

The model cut an owner and its old successor off too rarely around a renewal, so a build that kept counting the old successor's acknowledgements passed. It now starts such partitions after one renewal in five. A second case ends an owner and waits for its successor.

--- a/src/ownership/tests/modeltest.cpp
+++ b/src/ownership/tests/modeltest.cpp
@@ -30,6 +30,25 @@
 
 } // namespace
 
+TEST_CASE("the successor of a dead owner serves again in about 15 s") {
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    ownership::ModelWorld World(Seed);
+    while (World.validShards() < ownership::kShardsPerDataCentre) {
+      World.step(false);
+      REQUIRE(World.elapsed() < 60s);
+    }
+    const base::Duration Started = World.elapsed();
+    World.killOwner();
+    while (World.validShards() < ownership::kShardsPerDataCentre) {
+      World.step(false);
+      REQUIRE(World.elapsed() < Started + 20s);
+    }
+    MESSAGE("seed " << Seed << ": all shards owned after " << Started / 1ms
+                    << " ms, again " << (World.elapsed() - Started) / 1ms
+                    << " ms after an owner died");
+  }
+}
+
 TEST_CASE("no schedule of faults gives a shard two valid owners, and all "
           "shards have an owner again after the faults") {
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed)
--- a/src/ownership/tests/modelworld.cpp
+++ b/src/ownership/tests/modelworld.cpp
@@ -76,9 +76,7 @@
 }
 
 // Cuts two processes off from the log and all others, but not from each other.
-void ModelWorld::partition() {
-  const int First = static_cast<int>(Random() % kSlots);
-  const int Second = static_cast<int>(Random() % kSlots);
+void ModelWorld::partition(int First, int Second) {
   const base::BootTime Until = Clock.now() + 10s + upTo(40s);
   for (int Inside : {First, Second}) {
     CutFromLogUntil[Inside] = Until;
@@ -91,6 +89,22 @@
   }
 }
 
+// The owner and its old successor lose contact with all others just after the
+// owner has appended a renewal, so that neither learns of the new successor.
+void ModelWorld::partitionAroundRenewal(const ModelProcess &Owner,
+                                        const OwnershipClaim &Claim) {
+  for (const ClaimedShard &Claimed : Claim.Shards) {
+    const ShardEntry *Entry = Owner.State.find(Claimed.Shard);
+    if (Claimed.Basis != ClaimBasis::Renew || !Entry || !Entry->Successor)
+      continue;
+    for (const auto &Other : Processes) {
+      if (Other->Id == *Entry->Successor)
+        partition(Owner.Slot, Other->Slot);
+    }
+    return;
+  }
+}
+
 void ModelWorld::startFaults() {
   if (chance(0.0003))
     OutageUntil = Clock.now() + upTo(60s);
@@ -101,7 +115,8 @@
     CutUntil[{static_cast<int>(Random() % kSlots),
               static_cast<int>(Random() % kSlots)}] = Clock.now() + upTo(40s);
   if (chance(0.003))
-    partition();
+    partition(static_cast<int>(Random() % kSlots),
+              static_cast<int>(Random() % kSlots));
   for (std::size_t Index = 0; Index < Processes.size(); ++Index) {
     ModelProcess &One = *Processes[Index];
     if (!runs(One))
@@ -127,9 +142,10 @@
 }
 
 void ModelWorld::append(LogRecord Record) {
-  if (chance(0.15))
+  if (FaultsOn && chance(0.15))
     return;
-  const base::Duration Delay = chance(0.3) ? upTo(20s) : upTo(500ms);
+  const base::Duration Delay =
+      FaultsOn && chance(0.3) ? upTo(20s) : upTo(500ms);
   later(Delay, nullptr, [this, Record = std::move(Record)] {
     if (Clock.now() >= OutageUntil)
       Log.push_back(Record);
@@ -219,8 +235,11 @@
       continue;
     OwnershipActions Actions = One.Shards->tick();
     // A process may be frozen between a decision and its sending.
-    for (OwnershipClaim &Claim : Actions.Claims)
+    for (OwnershipClaim &Claim : Actions.Claims) {
+      if (FaultsOn && chance(0.2))
+        partitionAroundRenewal(One, Claim);
       later(upTo(60ms), &One, [this, Claim] { append(Claim); });
+    }
     for (OwnershipRelease &Release : Actions.Releases)
       later(upTo(60ms), &One, [this, Release] { append(Release); });
     for (const SuccessorPing &Ping : Actions.Pings)
@@ -257,8 +276,16 @@
   return Count;
 }
 
+void ModelWorld::killOwner() {
+  for (auto &One : Processes) {
+    if (One->Shards->valid({kHere, 0}))
+      One->Alive = false;
+  }
+}
+
 void ModelWorld::step(bool Faults) {
   Clock.advance(kStep);
+  FaultsOn = Faults;
   // Requests may reach a process before its first tick after a freeze.
   check();
   if (Faults)
--- a/src/ownership/tests/modelworld.h
+++ b/src/ownership/tests/modelworld.h
@@ -35,6 +35,9 @@
   /// Advances one step. `Faults` starts new faults; without it all faults end.
   void step(bool Faults);
 
+  /// Ends the process that owns shard 0, for good.
+  void killOwner();
+
   /// Empty, or a description of a shard with two valid owners.
   const std::string &violation() const { return Violation; }
 
@@ -60,7 +63,9 @@
   void startProcess(int Slot);
   void startFaults();
   void freeze(ModelProcess &One);
-  void partition();
+  void partition(int First, int Second);
+  void partitionAroundRenewal(const ModelProcess &Owner,
+                              const OwnershipClaim &Claim);
   void endFaults();
   void ticks();
   void send(ModelProcess &From, const SuccessorPing &Ping);
@@ -82,6 +87,7 @@
   base::BootTime OutageUntil;
   std::map<int, base::BootTime> CutFromLogUntil;
   std::map<std::pair<int, int>, base::BootTime> CutUntil;
+  bool FaultsOn = false;
   std::uint64_t LastEpoch = 0;
   std::string Violation;
 };
