Add the routing module: choice of upstream and region byte budget

Cause: callers reach backend servers only through daemons, which must choose an upstream without a list of servers and without trust in health claims.

Change: UpstreamTable follows membership and keeps what this daemon saw of each upstream. Router takes the better of two random choices in the nearest locality that the deadline, the byte allowance and the state of its upstreams allow; cold upstreams ramp up, failing ones are ejected with backoff and one trial request, and overload refusals move calls to the next locality in small steps. RegionByteBudget is a token bucket for each direction of a region pair.

--- /dev/null
+++ b/src/routing/internal/upstreamtable.cpp
@@ -0,0 +1,124 @@
+#include "routing/upstreamtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace routing {
+
+namespace {
+
+// An incarnation is the wall-clock time in microseconds at which the process
+// started. One in the future, by another clock, counts as just started.
+base::BootTime startOf(base::Incarnation Epoch, base::BootTime Now,
+                       base::WallTime WallNow) {
+  const auto Wall = WallNow.time_since_epoch().count();
+  const auto Started = std::int64_t(Epoch.value());
+  const std::int64_t Age = Started < Wall ? Wall - Started : 0;
+  const auto Capped =
+      std::min(std::chrono::microseconds(Age),
+               std::chrono::microseconds(std::chrono::hours(1)));
+  return Now - Capped;
+}
+
+} // namespace
+
+void UpstreamTable::configure(const base::ServiceName &Service,
+                              ServiceSettings Settings) {
+  Services[Service].Settings = Settings;
+}
+
+void UpstreamTable::follow(const membership::MemberTable &Members,
+                           const std::vector<base::InstanceId> &Changed,
+                           base::BootTime Now, base::WallTime WallNow) {
+  for (const base::InstanceId &Instance : Changed) {
+    if (const membership::MemberEntry *Entry = Members.find(Instance))
+      update(Entry->Record, Entry->Silent, Now, WallNow);
+    else
+      remove(Instance);
+  }
+}
+
+Locality UpstreamTable::localityOf(const membership::Member &Record) const {
+  if (Record.DataCentre == Place.DataCentre)
+    return Locality::OwnCentre;
+  return Record.Region == Place.Region ? Locality::OwnRegion
+                                       : Locality::OtherRegion;
+}
+
+void UpstreamTable::update(const membership::Member &Record, bool Silent,
+                           base::BootTime Now, base::WallTime WallNow) {
+  const auto Found = ByInstance.find(Record.Instance);
+  if (Found != ByInstance.end() &&
+      Upstreams[Found->second].Process.Epoch != Record.Epoch)
+    remove(Record.Instance);
+  if (!ByInstance.contains(Record.Instance)) {
+    Upstream New;
+    New.Process = Record.process();
+    New.Peer = Record.Peer;
+    New.Service = Record.Service;
+    New.Region = Record.Region;
+    New.Place = localityOf(Record);
+    New.Slots = std::max<std::uint32_t>(Record.Slots, 1);
+    New.Started = startOf(Record.Epoch, Now, WallNow);
+    ByInstance[Record.Instance] = Upstreams.size();
+    Upstreams.push_back(std::move(New));
+    link(Upstreams.size() - 1);
+  }
+  Upstream &Known = Upstreams[ByInstance.at(Record.Instance)];
+  // Only a newer claim of the member itself ends what it said in a refusal.
+  if (Record.StateVersion != Known.StateVersion)
+    Known.RefusedAsDraining = false;
+  Known.State = Record.State;
+  Known.StateVersion = Record.StateVersion;
+  Known.Silent = Silent;
+}
+
+void UpstreamTable::link(std::size_t Index) {
+  const Upstream &Item = Upstreams[Index];
+  ServiceUpstreams &Group = Services[Item.Service];
+  Group.Near[std::size_t(Item.Place)].push_back(Index);
+  Group.Ejected += Item.Outlier.ejected();
+}
+
+void UpstreamTable::unlink(std::size_t Index) {
+  const Upstream &Item = Upstreams[Index];
+  ServiceUpstreams &Group = Services.at(Item.Service);
+  std::erase(Group.Near[std::size_t(Item.Place)], Index);
+  Group.Ejected -= Item.Outlier.ejected();
+}
+
+void UpstreamTable::remove(const base::InstanceId &Instance) {
+  const auto Found = ByInstance.find(Instance);
+  if (Found == ByInstance.end())
+    return;
+  const std::size_t Index = Found->second;
+  const std::size_t Last = Upstreams.size() - 1;
+  unlink(Index);
+  ByInstance.erase(Found);
+  if (Index != Last) {
+    unlink(Last);
+    Upstreams[Index] = std::move(Upstreams[Last]);
+    ByInstance[Upstreams[Index].Process.Instance] = Index;
+    link(Index);
+  }
+  Upstreams.pop_back();
+}
+
+Upstream *UpstreamTable::find(const base::ProcessId &Process) {
+  const auto Found = ByInstance.find(Process.Instance);
+  if (Found == ByInstance.end())
+    return nullptr;
+  Upstream &Item = Upstreams[Found->second];
+  return Item.Process == Process ? &Item : nullptr;
+}
+
+const Upstream *UpstreamTable::find(const base::ProcessId &Process) const {
+  return const_cast<UpstreamTable *>(this)->find(Process);
+}
+
+ServiceUpstreams *UpstreamTable::service(const base::ServiceName &Service) {
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? nullptr : &Found->second;
+}
+
+} // namespace routing
--- /dev/null
+++ b/src/routing/tests/budgettest.cpp
@@ -0,0 +1,43 @@
+#include "routing/tests/fixture.h"
+
+using namespace routing;
+using namespace routing::tests;
+
+TEST_CASE("bytes to another region stay within the daemon's share, or the "
+          "link is overrun and billed") {
+  Fixture F;
+  F.put("far", "b1");
+  constexpr std::uint64_t Rate = 100'000;
+  constexpr int Seconds = 20;
+  F.Budget.configure(F.Own, F.Other, 4 * Rate, 4, F.Clock.now());
+  F.Budget.configure(F.Other, F.Own, 40 * Rate, 4, F.Clock.now());
+  int Refused = 0;
+  for (int Step = 0; Step < Seconds * 1000; ++Step) {
+    Refused += F.call() == "-";
+    F.Clock.advance(1ms);
+  }
+  const RegionByteCounters Out = F.Budget.counters(F.Own, F.Other);
+  CHECK(Out.Spent <= Rate * (Seconds + 1) + 1000);
+  CHECK(Out.Spent >= Rate * Seconds);
+  CHECK(Out.RefusedCalls == std::uint64_t(Refused));
+  CHECK(F.Budget.counters(F.Other, F.Own).Spent == Out.Spent);
+}
+
+TEST_CASE("large responses use up the allowance of the way back") {
+  Fixture F;
+  F.put("far", "b1");
+  const auto Chosen = F.choose(F.context());
+  REQUIRE(Chosen);
+  F.Calls.finish(*Chosen, {CallResult::Answered, 0, 2'000'000'000},
+                 F.Clock.now());
+  CHECK(F.call() == "-");
+  CHECK(F.Failure == base::ErrorKind::NoUpstream);
+  F.Clock.advance(1100ms);
+  CHECK(F.call() == "far");
+}
+
+TEST_CASE("a region pair without an allowance is not used") {
+  Fixture F;
+  F.put("unpaid", "c1");
+  CHECK(F.call() == "-");
+}
