Repair stale views after pauses, joins and cuts

A draining member was declared dead after one lost probe, because it is never told of the suspicion. A process that resumed, or started, kept a member usable that had left meanwhile. A paused daemon brought departed members back in daemons that had started since. After the start only two of the six first requests for members were sent.

Change: a draining member is probed until its timer ends and hearing from it stops the timer. A process asks six members for their views after a start or a pause, including dead and stopped members. A daemon corrects a sender that holds a leaving member alive. Replies go by whole buckets, and members learned from a reply are not passed on by piggyback.

--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -58,6 +58,9 @@
   base::PeerAddress TargetPeer;
   /// For `SyncRequest`.
   std::optional<BucketDigests> Buckets;
+  /// For `SyncRequest`: asks for all dead and stopped members as well, which
+  /// the digests leave out.
+  bool WantDeparted = false;
   std::vector<StateClaim> Claims;
   std::vector<Member> Records;
 
--- a/src/membership/internal/contactlist.cpp
+++ b/src/membership/internal/contactlist.cpp
@@ -13,7 +13,7 @@
 
 // Pace while no other member is known, and otherwise. With 2,400 daemons every
 // dead member is contacted by some daemon far more often.
-constexpr base::Duration kAlonePeriod = 500ms;
+constexpr base::Duration kAlonePeriod = 200ms;
 constexpr base::Duration kContactPeriod = 10s;
 
 // Bound on announced members remembered; the log holds no more than this.
--- a/src/membership/internal/datagram.cpp
+++ b/src/membership/internal/datagram.cpp
@@ -17,8 +17,14 @@
 
 constexpr std::size_t kMaxListLength = 255;
 
-enum Flag : std::uint8_t { WantRecord = 1, HasTarget = 2, HasBuckets = 4 };
-constexpr std::uint8_t kAllFlags = WantRecord | HasTarget | HasBuckets;
+enum Flag : std::uint8_t {
+  WantRecord = 1,
+  HasTarget = 2,
+  HasBuckets = 4,
+  WantDeparted = 8,
+};
+constexpr std::uint8_t kAllFlags =
+    WantRecord | HasTarget | HasBuckets | WantDeparted;
 
 std::size_t textSize(const std::string &Text) {
   return 1 + std::min(Text.size(), kMaxNameBytes);
@@ -139,11 +145,14 @@
     Flags |= HasTarget;
   if (Message.Buckets)
     Flags |= HasBuckets;
+  if (Message.WantDeparted)
+    Flags |= WantDeparted;
   return Flags;
 }
 
 void readOptionalParts(Reader &In, std::uint8_t Flags, Datagram &Message) {
   Message.WantRecord = Flags & WantRecord;
+  Message.WantDeparted = Flags & WantDeparted;
   if (Flags & HasTarget) {
     Message.TargetProcess.Instance = base::InstanceId(In.text());
     Message.TargetProcess.Epoch = base::Incarnation(In.number<std::uint64_t>());
--- a/src/membership/internal/gossipprotocol.cpp
+++ b/src/membership/internal/gossipprotocol.cpp
@@ -18,6 +18,10 @@
 
 constexpr base::Duration kForgetPeriod = 1s;
 
+// Claims in one datagram of corrections; it must respect `kMaxEncodedBytes`
+// with names of any length.
+constexpr std::size_t kMaxCorrections = 10;
+
 } // namespace
 
 struct GossipProtocol::State {
@@ -28,6 +32,8 @@
   void dispatch(const Datagram &Message, const base::PeerAddress &From);
   void answerPing(const Datagram &Message, const base::PeerAddress &From);
   std::size_t mergeNews(const Datagram &Message);
+  void noteOutdated(const StateClaim &Claim);
+  void sendCorrections(const base::PeerAddress &To);
   bool isUnknown(const base::ProcessId &Process) const;
   MergeResult merge(const Member &Record);
   MergeResult merge(const StateClaim &Claim);
@@ -37,6 +43,7 @@
                   std::optional<MemberState> Before);
   std::optional<MemberState> stateOf(const base::InstanceId &Instance) const;
   void onProbeFailed(const base::ProcessId &Process);
+  void heardFrom(const base::ProcessId &Process);
   std::vector<Outgoing> takeOutbox();
 
   GossipCore Core;
@@ -48,6 +55,10 @@
   base::BootTime LastTick;
   base::BootTime RunningAtTick;
   base::BootTime NextForget;
+  /// The current datagram is a reply to a request for members.
+  bool InReply = false;
+  /// What the sender of the current datagram does not know yet.
+  std::vector<StateClaim> Corrections;
 };
 
 // Between ticks, time advances with received datagrams as well, but by no more
@@ -121,7 +132,10 @@
   if (Result != MergeResult::Added && Result != MergeResult::Changed)
     return;
   const Member &Record = Core.Table.find(Instance)->Record;
-  Core.Broadcasts.add(Instance, Result == MergeResult::Added);
+  // A member that came with a reply is news to this daemon only, as after a
+  // join.
+  if (Before || !InReply)
+    Core.Broadcasts.add(Instance, Result == MergeResult::Added);
   if (Record.State == MemberState::Suspect)
     Suspected.start(claimOf(Record));
   else
@@ -166,7 +180,7 @@
                                         const base::PeerAddress &From) {
   const base::ProcessId &Process = Message.Sender.Process;
   merge(Message.Sender);
-  Core.Table.setSilent(Process, false);
+  heardFrom(Process);
   Core.Table.noteOffset(Process, Message.AppliedOffset);
   const bool Answered = Message.Kind == DatagramKind::Ping;
   if (!isUnknown(Process) || Answered)
@@ -195,13 +209,40 @@
   const auto Count = [&News](MergeResult Result) {
     News += Result == MergeResult::Added || Result == MergeResult::Changed;
   };
-  for (const Member &Record : Message.Records)
+  for (const Member &Record : Message.Records) {
     Count(merge(Record));
-  for (const StateClaim &Claim : Message.Claims)
+    noteOutdated(claimOf(Record));
+  }
+  for (const StateClaim &Claim : Message.Claims) {
     Count(merge(Claim));
+    noteOutdated(Claim);
+  }
   return News;
 }
 
+// A daemon that was paused or cut off may still hold a member alive that has
+// left, and would bring it back in daemons that started since.
+void GossipProtocol::State::noteOutdated(const StateClaim &Claim) {
+  if (Corrections.size() >= kMaxCorrections)
+    return;
+  const MemberEntry *Entry = Core.Table.find(Claim.Process.Instance);
+  if (!Entry)
+    return;
+  const StateClaim Known = claimOf(Entry->Record);
+  const bool Leaving = Known.State == MemberState::Draining ||
+                       Known.State == MemberState::Stopped;
+  if (Leaving && isPresent(Claim.State) && supersedes(Known, Claim))
+    Corrections.push_back(Known);
+}
+
+void GossipProtocol::State::sendCorrections(const base::PeerAddress &To) {
+  if (Corrections.empty())
+    return;
+  Datagram Message = Core.make(DatagramKind::Push, 0);
+  Message.Claims = std::exchange(Corrections, {});
+  Core.sendPlain(std::move(Message), To);
+}
+
 void GossipProtocol::State::dispatch(const Datagram &Message,
                                      const base::PeerAddress &From) {
   switch (Message.Kind) {
@@ -210,7 +251,9 @@
     return;
   case DatagramKind::Ack:
   case DatagramKind::RelayedAck:
-    Probes.onAck(Message);
+    if (Probes.onAck(Message))
+      heardFrom(Message.Kind == DatagramKind::Ack ? Message.Sender.Process
+                                                  : Message.TargetProcess);
     break;
   case DatagramKind::Nack:
     Probes.onNack(Message);
@@ -232,15 +275,25 @@
   Core.sendPlain(std::move(Answer), From);
 }
 
+void GossipProtocol::State::heardFrom(const base::ProcessId &Process) {
+  Core.Table.setSilent(Process, false);
+  const MemberEntry *Entry = Core.Table.find(Process.Instance);
+  if (Entry && Entry->Record.process() == Process &&
+      Entry->Record.State == MemberState::Draining)
+    Suspected.stop(Process.Instance);
+}
+
 void GossipProtocol::State::onProbeFailed(const base::ProcessId &Process) {
   const MemberEntry *Entry = Core.Table.find(Process.Instance);
   if (!Entry || Entry->Record.process() != Process)
     return;
   StateClaim Claim = claimOf(Entry->Record);
   Core.Table.setSilent(Process, true);
-  // Draining outranks suspect, so only this daemon's own timer runs.
+  // Draining outranks suspect, so only this daemon's own timer runs, and since
+  // the member cannot refute what it is not told, it is probed until then.
   if (Claim.State == MemberState::Draining) {
     Suspected.start(Claim);
+    Probes.probeNext(Process);
     return;
   }
   if (Claim.State != MemberState::Alive)
@@ -257,6 +310,7 @@
   Impl->Core.Now = Now;
   Impl->Core.Table.merge(Impl->Core.Settings.Self, Now);
   Impl->Core.Broadcasts.add(Impl->Core.Settings.Self.Instance, true);
+  Impl->Sync.refresh();
 }
 
 GossipProtocol::~GossipProtocol() = default;
@@ -288,12 +342,15 @@
   if (Message.Sender.Process.Instance.empty() ||
       Message.Sender.Process == S.Core.self().process())
     return S.takeOutbox();
+  S.InReply = Message.Kind == DatagramKind::SyncReply;
   const std::size_t News = S.mergeNews(Message);
+  S.InReply = false;
   S.mergeSender(Message, From);
   S.dispatch(Message, From);
   if (Message.Kind == DatagramKind::SyncReply)
     S.Sync.onReply(News);
   S.Sync.onDigest(Message, From);
+  S.sendCorrections(From);
   return S.takeOutbox();
 }
 
--- a/src/membership/internal/prober.cpp
+++ b/src/membership/internal/prober.cpp
@@ -155,7 +155,7 @@
   return Ended.Process;
 }
 
-void Prober::onAck(const Datagram &Message) {
+bool Prober::onAck(const Datagram &Message) {
   const auto Found = Relays.find(Message.Sequence);
   if (Found != Relays.end() &&
       Found->second.Process == Message.Sender.Process) {
@@ -164,18 +164,18 @@
     Datagram Answer = Core.make(DatagramKind::RelayedAck, Done.Sequence);
     Answer.TargetProcess = Done.Process;
     Core.send(Answer, Done.RequesterPeer, Done.Requester.Instance);
-    return;
+    return true;
   }
   const bool Relayed = Message.Kind == DatagramKind::RelayedAck;
   const base::ProcessId &Process =
       Relayed ? Message.TargetProcess : Message.Sender.Process;
   if (!Current || Current->Sequence != Message.Sequence ||
       Current->Process != Process)
-    return;
+    return false;
   if (!Current->Answered)
     Core.Health.improve();
   Current->Answered = true;
-  Core.Table.setSilent(Process, false);
+  return true;
 }
 
 void Prober::onNack(const Datagram &Message) {
--- a/src/membership/internal/prober.h
+++ b/src/membership/internal/prober.h
@@ -31,7 +31,8 @@
   /// this process.
   void abandonProbe() { Current.reset(); }
 
-  void onAck(const Datagram &Message);
+  /// Whether the answer proves that the probed process is there.
+  bool onAck(const Datagram &Message);
   void onNack(const Datagram &Message);
   void onPingRequest(const Datagram &Message, const base::PeerAddress &From);
 
--- a/src/membership/internal/suspicions.cpp
+++ b/src/membership/internal/suspicions.cpp
@@ -49,10 +49,6 @@
     const MemberEntry *Entry = Core.Table.find(Instance);
     if (!Entry || claimOf(Entry->Record) != Claim)
       continue;
-    // A draining member is not told of the suspicion and so cannot refute it;
-    // having heard from it is enough.
-    if (Claim.State == MemberState::Draining && !Entry->Silent)
-      continue;
     Claim.State = MemberState::Dead;
     Result.push_back(Claim);
   }
--- a/src/membership/internal/viewsync.cpp
+++ b/src/membership/internal/viewsync.cpp
@@ -1,6 +1,7 @@
 #include "membership/internal/viewsync.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace membership {
@@ -10,7 +11,7 @@
 using namespace std::chrono_literals;
 
 // Pace of requests while views differ only because news is on its way.
-constexpr base::Duration kRequestPeriod = 10s;
+constexpr base::Duration kRequestPeriod = 5s;
 
 // Pace while replies bring news, as after a join.
 constexpr base::Duration kSeriesPeriod = 100ms;
@@ -18,8 +19,8 @@
 // A reply with fewer news does not call for another request at once.
 constexpr std::size_t kSeriesMinimumNews = 4;
 
-// Requests after a pause of the process; several, because datagrams get lost
-// and the members asked may have left themselves.
+// Requests after the start or a pause of the process; several, because
+// datagrams get lost and the members asked may have left themselves.
 constexpr unsigned kRefreshRequests = 6;
 constexpr base::Duration kRefreshPeriod = 200ms;
 
@@ -46,11 +47,13 @@
 
 void ViewSync::request(const base::PeerAddress &To) {
   Series = false;
-  NextRequest = Core.Now + kRequestPeriod;
+  NextRequest =
+      Core.Now + (RefreshRequests > 0 ? kRefreshPeriod : kRequestPeriod);
   if (!Budget.open(Core.Now))
     return;
   Datagram Message = Core.make(DatagramKind::SyncRequest, 0);
   Message.Buckets = Core.Table.bucketDigests();
+  Message.WantDeparted = RefreshRequests > 0;
   ++Core.Counters.SyncRequests;
   Budget.spend(Core.sendPlain(std::move(Message), To));
 }
@@ -63,12 +66,11 @@
 void ViewSync::tick() {
   if ((!Series && RefreshRequests == 0) || Core.Now < NextRequest)
     return;
-  if (const MemberEntry *Peer = Core.randomPeer({}))
-    request(Peer->Record.Peer);
-  if (RefreshRequests == 0)
+  const MemberEntry *Peer = Core.randomPeer({});
+  if (!Peer)
     return;
-  --RefreshRequests;
-  NextRequest = Core.Now + kRefreshPeriod;
+  request(Peer->Record.Peer);
+  RefreshRequests -= RefreshRequests > 0;
 }
 
 void ViewSync::onReply(std::size_t News) {
@@ -78,20 +80,36 @@
   NextRequest = std::min(NextRequest, Core.Now + kSeriesPeriod);
 }
 
+// Whole buckets, so that those that have been sent no longer differ, from a
+// random one on, so that requests to different members bring different parts.
+void ViewSync::sortForReply(std::vector<const MemberEntry *> &Entries,
+                            bool DepartedFirst) {
+  const std::size_t Start = Core.randomBelow(kDigestBuckets);
+  const auto Rank = [&](const MemberEntry *Entry) {
+    const bool Later = DepartedFirst && isPresent(Entry->Record.State);
+    const std::size_t Bucket = MemberTable::bucketOf(*Entry);
+    return std::pair(Later, (Bucket + kDigestBuckets - Start) % kDigestBuckets);
+  };
+  std::sort(Entries.begin(), Entries.end(),
+            [&](const MemberEntry *A, const MemberEntry *B) {
+              return Rank(A) < Rank(B);
+            });
+}
+
 void ViewSync::onRequest(const Datagram &Message,
                          const base::PeerAddress &From) {
   if (!Message.Buckets)
     return;
   const BucketDigests &Own = Core.Table.bucketDigests();
-  std::vector<const Member *> Differing;
+  std::vector<const MemberEntry *> Differing;
   for (const MemberEntry &Entry : Core.Table.entries()) {
     const std::size_t Bucket = MemberTable::bucketOf(Entry);
-    if ((*Message.Buckets)[Bucket] != Own[Bucket])
-      Differing.push_back(&Entry.Record);
+    const bool Departed = !isPresent(Entry.Record.State);
+    if ((*Message.Buckets)[Bucket] != Own[Bucket] ||
+        (Departed && Message.WantDeparted))
+      Differing.push_back(&Entry);
   }
-  // Random order, so that repeated requests to different members bring
-  // different parts.
-  std::shuffle(Differing.begin(), Differing.end(), Core.Random);
+  sortForReply(Differing, Message.WantDeparted);
   std::size_t Next = 0;
   for (std::size_t Count = 0; Count < kMaxReplyDatagrams; ++Count) {
     if (Next == Differing.size() || !Budget.open(Core.Now))
@@ -99,10 +117,10 @@
     Datagram Reply = Core.make(DatagramKind::SyncReply, 0);
     std::size_t Size = encodedSize(Reply);
     while (Next < Differing.size()) {
-      Size += encodedSize(*Differing[Next]);
+      Size += encodedSize(Differing[Next]->Record);
       if (Size > kMaxEncodedBytes)
         break;
-      Reply.Records.push_back(*Differing[Next++]);
+      Reply.Records.push_back(Differing[Next++]->Record);
     }
     ++Core.Counters.SyncReplies;
     Budget.spend(Core.sendPlain(std::move(Reply), From));
--- a/src/membership/internal/viewsync.h
+++ b/src/membership/internal/viewsync.h
@@ -24,14 +24,16 @@
   /// bring news, requests follow each other quickly.
   void onReply(std::size_t News);
 
-  /// Asks several members for their views, for a process that was frozen and
-  /// may have missed that others left.
+  /// Asks several members for their views soon, for a process that has started
+  /// or was frozen and may have missed that others left.
   void refresh();
 
   /// Sends the next request of a series to a random member.
   void tick();
 
 private:
+  void sortForReply(std::vector<const MemberEntry *> &Entries,
+                    bool DepartedFirst);
   void request(const base::PeerAddress &To);
 
   GossipCore &Core;
--- a/src/membership/tests/datagramtest.cpp
+++ b/src/membership/tests/datagramtest.cpp
@@ -19,6 +19,7 @@
   Message.TargetPeer = makeMember(2).Peer;
   Message.Buckets.emplace();
   Message.Buckets->back() = 5;
+  Message.WantDeparted = true;
   Message.Claims.push_back(claimOf(makeMember(3)));
   Message.Records.push_back(makeMember(4));
   return Message;
