Bound gossip traffic in storms of changes

Cause: while a large part of the fleet changes its state, piggybacked news alone could take more than the share of 5 KB/s.

Change: piggybacked news has a token bucket of 768 B/s, urgent pushes get 512 B/s.

--- a/src/membership/internal/gossipcore.cpp
+++ b/src/membership/internal/gossipcore.cpp
@@ -16,10 +16,18 @@
 // cut off and sees most members as dead.
 constexpr unsigned kDrawsPerPeer = 16;
 
+// Together with probes, urgent pushes and replies to digests this keeps a
+// daemon below 2.5 KB/s sent, and as much received, while a large part of the
+// fleet changes its state.
+constexpr double kPiggybackBytesPerSecond = 768;
+constexpr double kPiggybackBurstBytes = 32.0 * 1024;
+
 } // namespace
 
 GossipCore::GossipCore(GossipSettings Initial)
-    : Settings(std::move(Initial)), Random(Settings.RandomSeed) {}
+    : Settings(std::move(Initial)),
+      Piggyback(kPiggybackBytesPerSecond, kPiggybackBurstBytes),
+      Random(Settings.RandomSeed) {}
 
 const Member &GossipCore::self() const {
   return Table.find(Settings.Self.Instance)->Record;
@@ -42,7 +50,10 @@
     Message.Claims.push_back(claimOf(Entry->Record));
   if (const Tombstone *Last = Table.tombstone(Recipient))
     Message.Claims.push_back(Last->Claim);
-  Broadcasts.fill(Message, Table, repeats());
+  const std::size_t Before = encodedSize(Message);
+  if (Piggyback.open(Now))
+    Broadcasts.fill(Message, Table, repeats());
+  Piggyback.spend(encodedSize(Message) - Before);
   return sendPlain(std::move(Message), To);
 }
 
--- a/src/membership/internal/gossipcore.h
+++ b/src/membership/internal/gossipcore.h
@@ -3,6 +3,7 @@
 
 #include "membership/gossipprotocol.h"
 #include "membership/internal/broadcastqueue.h"
+#include "membership/internal/bytebudget.h"
 #include "membership/internal/localhealth.h"
 
 #include <random>
@@ -45,6 +46,7 @@
   GossipSettings Settings;
   MemberTable Table;
   BroadcastQueue Broadcasts;
+  ByteBudget Piggyback;
   LocalHealth Health;
   GossipCounters Counters;
   std::mt19937_64 Random;
--- /dev/null
+++ b/src/membership/internal/gossipstate.h
@@ -0,0 +1,60 @@
+#ifndef JACKDAW_MEMBERSHIP_INTERNAL_GOSSIPSTATE_H
+#define JACKDAW_MEMBERSHIP_INTERNAL_GOSSIPSTATE_H
+
+#include "membership/gossipprotocol.h"
+#include "membership/internal/contactlist.h"
+#include "membership/internal/gossipcore.h"
+#include "membership/internal/prober.h"
+#include "membership/internal/suspicions.h"
+#include "membership/internal/urgentpush.h"
+#include "membership/internal/viewsync.h"
+
+#include <cstddef>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace membership {
+
+/// The parts of the protocol, and what happens when a datagram or a claim
+/// arrives.
+struct GossipProtocol::State {
+  explicit State(GossipSettings Settings) : Core(std::move(Settings)) {}
+
+  void updateClock(base::BootTime Now, bool Tick);
+  void mergeSender(const Datagram &Message, const base::PeerAddress &From);
+  void dispatch(const Datagram &Message, const base::PeerAddress &From);
+  void answerPing(const Datagram &Message, const base::PeerAddress &From);
+  std::size_t mergeNews(const Datagram &Message);
+  void noteOutdated(const StateClaim &Claim);
+  void sendCorrections(const base::PeerAddress &To);
+  bool isUnknown(const base::ProcessId &Process) const;
+  MergeResult merge(const Member &Record);
+  MergeResult merge(const StateClaim &Claim);
+  void refute(const StateClaim &Claim);
+  void changeSelf(MemberState State, std::uint32_t Version);
+  void afterMerge(MergeResult Result, const base::InstanceId &Instance,
+                  std::optional<MemberState> Before);
+  std::optional<MemberState> stateOf(const base::InstanceId &Instance) const;
+  void onProbeFailed(const base::ProcessId &Process);
+  void heardFrom(const base::ProcessId &Process);
+  std::vector<Outgoing> takeOutbox();
+
+  GossipCore Core;
+  Prober Probes{Core};
+  Suspicions Suspected{Core};
+  UrgentPush Urgent{Core};
+  ContactList Contacts{Core};
+  ViewSync Sync{Core};
+  base::BootTime LastTick;
+  base::BootTime RunningAtTick;
+  base::BootTime NextForget;
+  /// The current datagram is a reply to a request for members.
+  bool InReply = false;
+  /// What the sender of the current datagram does not know yet.
+  std::vector<StateClaim> Corrections;
+};
+
+} // namespace membership
+
+#endif // JACKDAW_MEMBERSHIP_INTERNAL_GOSSIPSTATE_H
--- a/src/membership/internal/urgentpush.cpp
+++ b/src/membership/internal/urgentpush.cpp
@@ -19,7 +19,7 @@
 // Bound on urgent news waiting for the budget.
 constexpr std::size_t kMaxItems = 4096;
 
-constexpr double kBudgetBytesPerSecond = 1024;
+constexpr double kBudgetBytesPerSecond = 512;
 constexpr double kBudgetBurstBytes = 16 * 1024;
 
 } // namespace
--- a/src/membership/tests/datagramtest.cpp
+++ b/src/membership/tests/datagramtest.cpp
@@ -1,6 +1,10 @@
 #include "membership/tests/fakenetwork.h"
 
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
 #include <random>
+#include <sstream>
 
 using namespace membership;
 using membership::tests::makeMember;
@@ -53,3 +57,17 @@
       CHECK(encodedSize(*Decoded) <= Damaged.size());
   }
 }
+
+TEST_CASE("a member survives serialisation into the log") {
+  Member Record = makeMember(3);
+  Record.State = MemberState::Draining;
+  Record.StateVersion = 4;
+  Record.AppliedOffset = base::LogOffset(17);
+  std::stringstream Stream;
+  cereal::PortableBinaryOutputArchive Out(Stream);
+  Out(Record);
+  Member Read;
+  cereal::PortableBinaryInputArchive In(Stream);
+  In(Read);
+  CHECK(Read == Record);
+}
--- a/src/membership/tests/scaletest.cpp
+++ b/src/membership/tests/scaletest.cpp
@@ -93,6 +93,15 @@
     }
   }
 
+  /// News of `PerSecond` members a second, as when a data centre is cut off.
+  void storm(unsigned Seconds, unsigned PerSecond) {
+    for (unsigned Second = 0; Second < Seconds; ++Second) {
+      for (unsigned Count = 0; Count < PerSecond; ++Count)
+        sendNews();
+      run(1);
+    }
+  }
+
   const GossipCounters &counters() const { return Protocol->counters(); }
 
 private:
@@ -135,7 +144,7 @@
   }
 
   void sendNews() {
-    const unsigned Index = 2 + News / 3;
+    const unsigned Index = 2 + News / 3 % (kFleet - 2);
     Datagram Message = from(1, DatagramKind::Push);
     Member Record =
         Protocol->members().find(fleetMember(Index).Instance)->Record;
@@ -190,6 +199,21 @@
   CHECK(Both < kBudgetBytesPerSecond / 2);
 }
 
+TEST_CASE("scale: a storm of changes does not push a daemon over 5 KB/s") {
+  constexpr unsigned Seconds = 600;
+  Surroundings Fleet;
+  // Uses up the bursts that the budgets allow.
+  Fleet.storm(120, 20);
+  const GossipCounters Before = Fleet.counters();
+  Fleet.storm(Seconds, 20);
+  const GossipCounters &After = Fleet.counters();
+  const auto Datagrams = double(After.DatagramsSent - Before.DatagramsSent);
+  const auto Bytes = double(After.BytesSent - Before.BytesSent);
+  const double Both = 2 * (Bytes + kWireOverheadBytes * Datagrams) / Seconds;
+  MESSAGE("20 changes a second: both ways " << Both << " B/s");
+  CHECK(Both < kBudgetBytesPerSecond);
+}
+
 TEST_CASE("scale: a daemon that joins 2,400 members knows nearly all of them "
           "within 30 s") {
   base::ManualClock Clock;
--- a/src/routing/tests/routertest.cpp
+++ b/src/routing/tests/routertest.cpp
@@ -113,6 +113,33 @@
   CHECK_FALSE(F.Table.find(New)->Outlier.ejected());
 }
 
+TEST_CASE("the table follows membership: changes of state, and members that "
+          "are forgotten") {
+  Fixture F;
+  membership::MemberTable Members;
+  membership::Member Record;
+  Record.Instance = base::InstanceId("x");
+  Record.DataCentre = base::DataCentreId("a1");
+  Record.Region = F.Own;
+  Record.Service = F.Service;
+  const auto Follow = [&] {
+    F.Table.follow(Members, Members.takeChanges(), F.Clock.now(),
+                   F.Clock.wallNow());
+  };
+  Members.merge(Record, F.Clock.now());
+  Follow();
+  CHECK(F.call() == "x");
+  Record.State = MemberState::Stopped;
+  Record.StateVersion = 1;
+  Members.merge(membership::claimOf(Record), F.Clock.now());
+  Follow();
+  CHECK(F.call() == "-");
+  F.Clock.advance(membership::kMemberRetention);
+  Members.forgetOld(F.Clock.now());
+  Follow();
+  CHECK(F.Table.size() == 0);
+}
+
 TEST_CASE("removal keeps the positions of the others right") {
   Fixture F;
   for (int Index = 0; Index < 20; ++Index)
