config: keep characters outside ASCII away from toml++

Cause: the undefined-behaviour sanitizer showed toml++ 3.3 reaching __builtin_unreachable for characters such as U+00E9 outside strings, so that builds could disagree on a verdict. Change: such bytes become '?' before parsing; comments may hold them, settings may not. The allocation counter of the platformlog tests covers the nothrow form, which AddressSanitizer reported as mismatched.

--- a/src/config/internal/sectionreader.cpp
+++ b/src/config/internal/sectionreader.cpp
@@ -249,6 +249,22 @@
   return 0;
 }
 
+/// `Text` without byte order mark and with `?` in place of each byte that is
+/// not ASCII. Outside strings, toml++ 3.3 has undefined behaviour for some
+/// characters such as U+00E9, so that two builds could disagree on a verdict.
+/// No setting may hold such characters; comments may.
+std::string toAscii(std::string_view Text) {
+  constexpr std::string_view ByteOrderMark = "\xef\xbb\xbf";
+  if (Text.starts_with(ByteOrderMark))
+    Text.remove_prefix(ByteOrderMark.size());
+  std::string Ascii(Text);
+  for (char &Byte : Ascii) {
+    if (static_cast<unsigned char>(Byte) >= 0x80)
+      Byte = '?';
+  }
+  return Ascii;
+}
+
 } // namespace
 
 bool SectionValues::has(std::string_view Key) const {
@@ -295,7 +311,7 @@
     return {};
   }
   try {
-    const toml::table Root = toml::parse(Text, File);
+    const toml::table Root = toml::parse(toAscii(Text), File);
     return TreeReader(Kind, File, Errors).read(Root);
   } catch (const toml::parse_error &Error) {
     Errors.push_back({File, Error.source().begin.line,
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -65,7 +65,7 @@
 
     Setting{Service, "route", "prefix", Text, "", kRequired, "", 1, 1024,
             PathPrefix,
-            "must be an absolute path without escapes, dot segments or a "
+            "must be an absolute ASCII path without escapes, dot segments or a "
             "trailing slash",
             "Path prefix in whole segments; the longest match applies."},
     Setting{Service, "route", "methods", TextList, "", kOptional, "", 1, 16,
--- a/src/config/tests/servicefiletest.cpp
+++ b/src/config/tests/servicefiletest.cpp
@@ -106,6 +106,16 @@
   CHECK(reports(checkFile("x.toml", ""), 0, "[backend] is required"));
 }
 
+TEST_CASE("characters outside ASCII are harmless in comments and errors "
+          "elsewhere, where toml++ has undefined behaviour") {
+  CHECK(checkFile("x.toml", "\xef\xbb\xbf# \xc3\xa9\xff\n" + serviceText())
+            .empty());
+  CHECK(reports(checkFile("x.toml", "[\xc3\xa9]\n"), 1, "syntax error"));
+  std::string Text = serviceText();
+  Text.replace(Text.find("acme"), 4, "acm\xc3\xa9");
+  CHECK(reports(checkFile("x.toml", Text), 6, "\"name\" must be"));
+}
+
 TEST_CASE("the fleet file lists data centres once each") {
   const auto Parsed = parseFleetFile("fleet.toml", fleetText());
   REQUIRE(Parsed.Value);
--- a/src/platformlog/tests/allocations.cpp
+++ b/src/platformlog/tests/allocations.cpp
@@ -19,5 +19,10 @@
   throw std::bad_alloc();
 }
 
+void *operator new(std::size_t Size, const std::nothrow_t &) noexcept {
+  Total += Size;
+  return std::malloc(Size);
+}
+
 void operator delete(void *Memory) noexcept { std::free(Memory); }
 void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
--- a/src/publish/tests/randomtest.cpp
+++ b/src/publish/tests/randomtest.cpp
@@ -157,6 +157,7 @@
   std::vector<std::thread> Publishers;
   Publishers.reserve(kPublishers);
   std::vector<std::thread> Others;
+  Others.reserve(kReaders + 2);
   for (int Index = 0; Index < kReaders; ++Index)
     Others.emplace_back([&] { runReader(Shared); });
   Others.emplace_back([&] { runSnapshots(Shared); });
