config, platformlog, publish: tidy includes

Cause: three files included headers they don't use, and two relied on others for std::max. Change: includes only.

--- a/src/config/internal/servicefile.cpp
+++ b/src/config/internal/servicefile.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 namespace config {
 
--- a/src/platformlog/internal/responses.cpp
+++ b/src/platformlog/internal/responses.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
+
 namespace platformlog {
 
 namespace {
--- a/src/publish/internal/files.cpp
+++ b/src/publish/internal/files.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
-#include <set>
 #include <sstream>
 
 namespace publish {
--- a/tests/standins/standinlog.cpp
+++ b/tests/standins/standinlog.cpp
@@ -4,8 +4,9 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
-#include <atomic>
+#include <algorithm>
 #include <condition_variable>
+#include <cstdlib>
 #include <deque>
 #include <mutex>
 #include <stdexcept>
