Apply fleet-wide limits and locality-aware routing in the daemon

Entry daemons take permits from the owners of limit slices, locally or by message; upstreams are chosen by the router; idempotency attempts are tracked until the owner has confirmed their end.

--- a/src/node/callclient.h
+++ b/src/node/callclient.h
@@ -75,14 +75,16 @@
     base::PeerAddress Target;
     overload::RouteKey Route;
     std::optional<execution::CallVerdict> Verdict;
+    /// Load in the response; negative before one has arrived.
+    std::int32_t Load = -1;
     std::condition_variable Settled;
   };
 
   execution::CallVerdict attempt(const OutgoingCall &Call,
-                                 const Upstream &Target,
+                                 const routing::Choice &Target,
                                  std::uint32_t AllowanceUnits,
                                  const http::CallerConnection &Caller);
-  void transmit(const OutgoingCall &Call, const Upstream &Target,
+  void transmit(const OutgoingCall &Call, const routing::Choice &Target,
                 const execution::CallIdentity &Identity,
                 std::uint32_t AllowanceUnits);
   execution::CallVerdict wait(std::unique_lock<std::mutex> &Lock,
--- a/src/node/controlplane.h
+++ b/src/node/controlplane.h
@@ -6,10 +6,10 @@
 #include "node/logfollower.h"
 #include "node/messages.h"
 #include "node/runtime.h"
-#include "node/upstreams.h"
 #include "ownership/shardownership.h"
 #include "transport/peertransport.h"
 
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -17,6 +17,12 @@
 
 namespace node {
 
+/// A daemon process and where to reach it.
+struct PeerProcess {
+  base::ProcessId Process;
+  base::PeerAddress Peer;
+};
+
 /// Membership, shard ownership and the spreading of log records: everything
 /// that daemons do among themselves apart from calls. Safe to use from any
 /// thread.
@@ -28,6 +34,17 @@
   void setTransport(transport::PeerTransport &Peers) { Transport = &Peers; }
   void setLog(LogFollower &Follower) { Log = &Follower; }
 
+  /// Called from `tick` with the instances whose entry has changed.
+  using MemberListener =
+      std::function<void(const membership::MemberTable &Members,
+                         const std::vector<base::InstanceId> &Changed)>;
+  void setMemberListener(MemberListener Listener) {
+    OnMembers = std::move(Listener);
+  }
+
+  /// Announces this daemon in the log.
+  void announceStart();
+
   void onDatagram(const base::PeerAddress &From, const std::string &Body);
   void onSuccessorPing(transport::ConnectionId Connection,
                        const ownership::SuccessorPing &Ping);
@@ -55,7 +72,7 @@
 
   /// The owner of a shard according to the log, with its address; nothing if
   /// there is none or it is unknown.
-  std::optional<Upstream> ownerOf(const ownership::ShardId &Shard) const;
+  std::optional<PeerProcess> ownerOf(const ownership::ShardId &Shard) const;
 
   /// All members, and whether routing may use each.
   struct MemberView {
@@ -64,9 +81,6 @@
   };
   std::vector<MemberView> members() const;
 
-  /// Number that changes whenever `members` may have changed.
-  std::uint64_t membershipVersion() const;
-
   /// Whether a newer process of this instance exists.
   bool superseded() const;
 
@@ -97,7 +111,7 @@
   base::LogOffset AdoptedOffset;
   base::BootTime FetchSentAt;
   base::BootTime NextReaderCheck;
-  std::uint64_t MemberVersion = 1;
+  MemberListener OnMembers;
 };
 
 } // namespace node
--- a/src/node/fleetstate.h
+++ b/src/node/fleetstate.h
@@ -36,6 +36,9 @@
   /// further in the log than this state.
   bool adoptSnapshot(const std::string &Record);
 
+  /// Offset of the newest snapshot in the log that this daemon knows of.
+  base::LogOffset lastSnapshot() const;
+
   /// The whole state as a log record of kind `Snapshot`.
   std::string snapshotRecord() const;
 
@@ -61,6 +64,7 @@
   Runtime &Shared;
   mutable std::mutex Mutex;
   base::LogOffset Applied;
+  base::LogOffset LastSnapshot;
   config::ConfigState Config;
   ownership::OwnershipState Owners;
   std::map<base::InstanceId, membership::Member> Members;
--- a/src/node/internal/callclient.cpp
+++ b/src/node/internal/callclient.cpp
@@ -42,14 +42,15 @@
                             const http::CallerConnection &Caller) {
   CallResult Result;
   std::vector<base::ProcessId> Tried;
-  bool MayHaveRun = false;
+  base::Outcome Overall = base::Outcome::NotRun;
   {
     std::lock_guard Lock(Mutex);
     Budgets.budget(Call.Service, Call.Scope.Workspace)
         .recordFirstAttempt(Shared.Time.now());
   }
   for (;;) {
-    const auto Target = Choice.choose(Call.Service, Call.Deadline, Tried);
+    const auto Target = Choice.choose(
+        Call.Service, {Call.Deadline, Tried, Call.Request.Body.size()});
     if (!Target) {
       // Refusals of earlier attempts say more than that no other is left.
       if (Result.Attempts == 0)
@@ -61,11 +62,9 @@
     Result.Verdict = attempt(Call, *Target, Grant.units(), Caller);
     const execution::ResponsePtr &Answer = Result.Verdict.Answer;
     Allowance.giveBack(std::move(Grant), Answer ? Answer->UnusedAllowance : 0);
-    // An earlier attempt may have run even if the last one did not, so "not
-    // run" must not be claimed for the whole call.
-    if (MayHaveRun && Result.Verdict.What == base::Outcome::NotRun)
-      Result.Verdict.What = base::Outcome::Unknown;
-    MayHaveRun = MayHaveRun || Result.Verdict.What != base::Outcome::NotRun;
+    // An earlier attempt may have run even if the last one did not.
+    Overall = execution::combineOutcomes(Overall, Result.Verdict.What);
+    Result.Verdict.What = Overall;
     if (!Result.Verdict.Error || !Result.Verdict.MayRetry)
       return Result;
     Tried.push_back(Target->Process);
@@ -86,7 +85,7 @@
 }
 
 execution::CallVerdict
-CallClient::attempt(const OutgoingCall &Call, const Upstream &Target,
+CallClient::attempt(const OutgoingCall &Call, const routing::Choice &Target,
                     std::uint32_t AllowanceUnits,
                     const http::CallerConnection &Caller) {
   const base::BootTime Started = Shared.Time.now();
@@ -105,11 +104,12 @@
   execution::CallVerdict Verdict = wait(Lock, *Waiting, Identity.Id, Caller);
   Waiters.erase(Identity.Id);
   Lock.unlock();
-  Choice.finished(Target, Verdict, Shared.Time.now() - Started);
+  Choice.finished(Target, Verdict, Waiting->Load);
   return Verdict;
 }
 
-void CallClient::transmit(const OutgoingCall &Call, const Upstream &Target,
+void CallClient::transmit(const OutgoingCall &Call,
+                          const routing::Choice &Target,
                           const execution::CallIdentity &Identity,
                           std::uint32_t AllowanceUnits) {
   CallMessage Message;
@@ -125,7 +125,6 @@
   Message.WaitedMicros = microseconds(Call.WaitedBefore);
   Message.Request = Call.Request;
   std::string Body = base::encode(Message);
-  Choice.noteBytes(Target, Body.size());
 
   const transport::ConnectionId Connection =
       Transport->connectionTo(Target.Peer);
@@ -183,7 +182,7 @@
   std::lock_guard Lock(Mutex);
   const auto Found = Waiters.find(Message.Id);
   if (Found != Waiters.end()) {
-    Choice.noteLoad(Found->second->Target, Message.Report.Load);
+    Found->second->Load = static_cast<std::int32_t>(Message.Report.Load);
     if (OnReport && Message.Report.Level.valid())
       OnReport(Found->second->Route, Message.Report);
   }
--- a/src/node/internal/controlplane.cpp
+++ b/src/node/internal/controlplane.cpp
@@ -82,6 +82,11 @@
   followLogIfReader();
 }
 
+void ControlPlane::announceStart() {
+  std::lock_guard Lock(Mutex);
+  Log->append(platformlog::encodeRecord(RecordKind::Announce, Gossip.self()));
+}
+
 void ControlPlane::announceLeaving(membership::MemberState State) {
   std::lock_guard Lock(Mutex);
   send(Gossip.changeOwnState(State));
@@ -93,7 +98,6 @@
 void ControlPlane::reportSilent(const base::ProcessId &Process) {
   std::lock_guard Lock(Mutex);
   Gossip.reportSilent(Process);
-  ++MemberVersion;
 }
 
 std::optional<ownership::ValidOwnership>
@@ -102,7 +106,7 @@
   return Ownership.valid(Shard);
 }
 
-std::optional<Upstream>
+std::optional<PeerProcess>
 ControlPlane::ownerOf(const ownership::ShardId &Shard) const {
   std::lock_guard Lock(Mutex);
   const ownership::ShardEntry *Entry = Owners.find(Shard);
@@ -111,7 +115,7 @@
   const auto Address = addressOf(*Entry->Owner);
   if (!Address)
     return std::nullopt;
-  return Upstream{*Entry->Owner, *Address};
+  return PeerProcess{*Entry->Owner, *Address};
 }
 
 std::vector<ControlPlane::MemberView> ControlPlane::members() const {
@@ -122,11 +126,6 @@
   return Result;
 }
 
-std::uint64_t ControlPlane::membershipVersion() const {
-  std::lock_guard Lock(Mutex);
-  return MemberVersion;
-}
-
 bool ControlPlane::superseded() const {
   std::lock_guard Lock(Mutex);
   return Gossip.isSuperseded();
@@ -202,7 +201,8 @@
   const auto Changes = Gossip.takeChanges();
   if (Changes.empty())
     return;
-  ++MemberVersion;
+  if (OnMembers)
+    OnMembers(Gossip.members(), Changes);
   for (const base::InstanceId &Instance : Changes) {
     const membership::MemberEntry *Entry = Gossip.members().find(Instance);
     Shared.Events.record(
--- a/src/node/internal/daemon.cpp
+++ b/src/node/internal/daemon.cpp
@@ -6,9 +6,7 @@
 #include "node/entryservice.h"
 #include "node/fleetstate.h"
 #include "node/idempotencyclient.h"
-#include "node/localratecontrol.h"
 #include "node/logfollower.h"
-#include "node/memberupstreams.h"
 #include "node/peerdispatcher.h"
 #include "node/servingservice.h"
 #include "platformlog/httplogclient.h"
@@ -28,6 +26,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kTickInterval = 10ms;
+constexpr base::Duration kSlowTickInterval = 1s;
 /// Longest time that a planned stop waits for open requests.
 constexpr base::Duration kDrainLimit = 60s;
 constexpr unsigned kMaxAdministrationConnections = 64;
@@ -94,6 +93,7 @@
   base::Result<void> startServers();
   void tickLoop();
   std::string registerBackend(const std::string &Body);
+  void adoptConfiguration();
   void refreshBackendLimits();
 
   const DaemonSettings Settings;
@@ -103,10 +103,10 @@
   PeerDispatcher Dispatcher;
   std::unique_ptr<transport::PeerTransport> Peers;
   std::unique_ptr<ControlPlane> Control;
-  std::unique_ptr<MemberUpstreams> Choice;
+  std::unique_ptr<Upstreams> Choice;
   std::unique_ptr<CallClient> Calls;
   std::unique_ptr<ServingService> Serving;
-  std::unique_ptr<LocalRateControl> Rates;
+  std::unique_ptr<RateControl> Rates;
   std::unique_ptr<IdempotencyClient> Idempotency;
   std::unique_ptr<EntryService> Entry;
   std::unique_ptr<AdministrationService> Administration;
@@ -117,6 +117,8 @@
   std::mutex BackendMutex;
   std::uint16_t BackendPort = 0;
   std::shared_ptr<const config::Configuration> BackendConfig;
+  std::shared_ptr<const config::Configuration> AdoptedConfig;
+  base::BootTime NextSlowTick;
   std::atomic<bool> Stopping = false;
   std::thread Ticker;
 };
@@ -136,34 +138,41 @@
 void Daemon::Parts::createServices() {
   Control = std::make_unique<ControlPlane>(
       Shared, Fleet, gossipSettings(Settings, Shared.Self, Peers->address()));
-  Choice = std::make_unique<MemberUpstreams>(*Control);
+  Choice = std::make_unique<Upstreams>(Shared);
   Calls = std::make_unique<CallClient>(Shared, *Choice);
   Serving = std::make_unique<ServingService>(Shared);
-  Rates = std::make_unique<LocalRateControl>(Shared, Fleet);
-  Idempotency = std::make_unique<IdempotencyClient>(Shared, *Control);
+  Rates = std::make_unique<RateControl>(Shared, *Control);
+  Idempotency = std::make_unique<IdempotencyClient>(Shared, Fleet, *Control);
   Entry = std::make_unique<EntryService>(
       Shared, Fleet, *Calls, *Serving, *Rates, *Idempotency,
       [this](const std::string &Body) { return registerBackend(Body); });
   Administration = std::make_unique<AdministrationService>(
       Shared, Fleet, *Control, *Serving, *Calls);
   Services = std::make_unique<PeerServices>(
-      PeerServices{*Calls, *Serving, *Control, *Idempotency});
+      PeerServices{*Calls, *Serving, *Control, *Idempotency, *Rates});
 
   Control->setTransport(*Peers);
   Calls->setTransport(*Peers);
   Serving->setTransport(*Peers);
   Idempotency->setTransport(*Peers);
+  Rates->setTransport(*Peers);
+  Control->setMemberListener(
+      [this](const membership::MemberTable &Members,
+             const std::vector<base::InstanceId> &Changed) {
+        Choice->follow(Members, Changed);
+      });
   Calls->setReportListener(
       [this](const overload::RouteKey &Route, const LoadReport &Report) {
         Entry->learnLevel(Route, Report);
       });
   Follower = std::make_unique<LogFollower>(
-      Shared, LogClient, LogClient, Fleet,
+      Shared, LogClient, LogClient, Fleet, Settings.SnapshotInterval,
       [this](base::BootTime SentAt, base::LogOffset End) {
         Control->onLogEndReached(SentAt, End);
       });
   Control->setLog(*Follower);
   Dispatcher.connect(*Services);
+  Control->announceStart();
 }
 
 base::Result<void> Daemon::Parts::startServers() {
@@ -193,7 +202,8 @@
     Serving->tick();
     Idempotency->tick();
     Entry->tick();
-    refreshBackendLimits();
+    Rates->tick();
+    adoptConfiguration();
     std::this_thread::sleep_for(kTickInterval);
   }
 }
@@ -216,6 +226,26 @@
   return "";
 }
 
+/// Hands a changed configuration to all services, and runs what is due once a
+/// second.
+void Daemon::Parts::adoptConfiguration() {
+  const auto Config = Fleet.configuration();
+  const base::BootTime Now = Shared.Time.now();
+  const bool Changed = Config != AdoptedConfig;
+  if (Changed) {
+    AdoptedConfig = Config;
+    Rates->configure(*Config);
+    Idempotency->configure(*Config);
+  }
+  refreshBackendLimits();
+  if (!Changed && Now < NextSlowTick)
+    return;
+  NextSlowTick = Now + kSlowTickInterval;
+  // The byte budget between regions is shared by the members there are.
+  Choice->configure(*Config);
+  Choice->exportCounters();
+}
+
 /// Hands the limits in force to the serving side once the backend server has
 /// registered, and again whenever the configuration changes.
 void Daemon::Parts::refreshBackendLimits() {
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -214,21 +214,18 @@
 EntryService::runKeyed(Admitted &Request,
                        const http::CallerConnection &Connection) {
   const OutgoingCall &Call = Request.Call;
-  const config::WorkspaceConfig *Workspace =
-      Request.Service->workspace(Call.Scope.Workspace);
-  KeyedAttempt Attempt;
-  Attempt.Begin.Request = {Call.Service, Call.Scope.Workspace, *Request.Key};
-  Attempt.Begin.Digest = execution::digestRequest(
+  const execution::RequestDigest Digest = execution::digestRequest(
       Call.Request.Method, Call.Request.Path + "?" + Call.Request.Query,
       Call.Request.Body);
-  Attempt.Begin.Attempt = base::makeRandomId<execution::AttemptId>();
-  Attempt.RecordDataCentre =
-      Workspace != nullptr ? Workspace->RecordDataCentre : base::DataCentreId();
-  Attempt.Deadline = Call.Deadline;
-  if (auto Earlier = Idempotency.begin(Attempt, *Request.Config))
-    return *Earlier;
+  auto Decision = Idempotency.begin(
+      {Call.Service, Call.Scope.Workspace, *Request.Key}, Digest);
+  if (Decision.Refusal) {
+    if (Request.Inner)
+      endInner(Request, Request.Inner->Grant.units());
+    return *Decision.Refusal;
+  }
   execution::Response Answer = run(Request, Connection);
-  Idempotency.finish(Attempt, *Request.Config, Answer);
+  Idempotency.finish(Decision.Attempt, Answer);
   return Answer;
 }
 
--- a/src/node/internal/fleetstate.cpp
+++ b/src/node/internal/fleetstate.cpp
@@ -15,6 +15,10 @@
 
 using platformlog::RecordKind;
 
+/// Stands for a snapshot among the records kept for peers.
+const std::string kSnapshotMark =
+    platformlog::encode(platformlog::FleetRecord{RecordKind::Snapshot, ""});
+
 template <typename Record, typename Apply>
 void applyPayload(const std::string &Payload, Apply &&OnDecoded) {
   if (const auto Decoded = platformlog::decode<Record>(Payload))
@@ -30,6 +34,11 @@
   return Applied;
 }
 
+base::LogOffset FleetState::lastSnapshot() const {
+  std::lock_guard Lock(Mutex);
+  return LastSnapshot;
+}
+
 bool FleetState::apply(const std::vector<platformlog::LogRecord> &Records) {
   std::lock_guard Lock(Mutex);
   bool Moved = false;
@@ -48,7 +57,10 @@
     return Envelope && Envelope->Kind == RecordKind::Snapshot &&
            adoptLocked(Envelope->Payload);
   Applied = Record.Offset;
-  keep(Record);
+  // Peers that follow record by record have the state already, and a snapshot
+  // is far larger than other records.
+  const bool Large = Envelope && Envelope->Kind == RecordKind::Snapshot;
+  keep(Large ? platformlog::LogRecord{Record.Offset, kSnapshotMark} : Record);
   if (Envelope)
     applyEnvelope(Envelope->Kind, Envelope->Payload);
   else
@@ -82,6 +94,7 @@
         Payload, [this](const auto &Announced) { announce(Announced); });
     break;
   case RecordKind::Snapshot:
+    LastSnapshot = Applied;
     break;
   }
 }
--- a/src/node/internal/logfollower.cpp
+++ b/src/node/internal/logfollower.cpp
@@ -15,14 +15,17 @@
 /// gossip does not reach it.
 constexpr std::chrono::milliseconds kOccasionalRead = 10000ms;
 constexpr std::size_t kMaxQueuedRecords = 1000;
+constexpr std::uint64_t kRecordsPerSnapshot = 500;
 
 } // namespace
 
 LogFollower::LogFollower(Runtime &Shared, platformlog::LogClient &ReadClient,
                          platformlog::LogClient &AppendClient,
-                         FleetState &Fleet, ReadListener OnEndReached)
+                         FleetState &Fleet, base::Duration SnapshotInterval,
+                         ReadListener OnEndReached)
     : Shared(Shared), ReadClient(ReadClient), AppendClient(AppendClient),
-      Fleet(Fleet), OnEndReached(std::move(OnEndReached)),
+      Fleet(Fleet), SnapshotInterval(SnapshotInterval),
+      OnEndReached(std::move(OnEndReached)), Random(std::random_device()()),
       Reader([this] { readLoop(); }), Appender([this] { appendLoop(); }) {}
 
 LogFollower::~LogFollower() {
@@ -94,7 +97,7 @@
     const base::LogOffset After = Fleet.applied();
     if (After >= Page->End) {
       OnEndReached(SentAt, Page->End);
-      appendSnapshotIfDue(*Page);
+      appendSnapshotIfDue();
       return true;
     }
     // Nothing that leads on: the log has forgotten records, and holds no
@@ -106,9 +109,35 @@
   }
 }
 
-/// Retention is only known by count, so half of the retained range without a
-/// snapshot is the signal.
-void LogFollower::appendSnapshotIfDue(const platformlog::ReadResult &) {}
+/// Keeps a snapshot within the log's retention. All readers watch; each waits
+/// a random time more, so that usually only one of them appends.
+void LogFollower::appendSnapshotIfDue() {
+  const base::BootTime Now = Shared.Time.now();
+  const base::LogOffset Seen = Fleet.lastSnapshot();
+  const base::LogOffset Applied = Fleet.applied();
+  if (SnapshotDueAt == base::BootTime() || Seen != SnapshotSeen) {
+    SnapshotSeen = Seen;
+    SnapshotDueAt = Now + SnapshotInterval + jitter();
+    RecordsDue = kRecordsPerSnapshot + Random() % kRecordsPerSnapshot;
+  }
+  const bool ManyRecords = Applied.value() - Seen.value() >= RecordsDue;
+  if (!Following || (Now < SnapshotDueAt && !ManyRecords))
+    return;
+  SnapshotDueAt = Now + SnapshotInterval + jitter();
+  RecordsDue += kRecordsPerSnapshot;
+  std::string Record = Fleet.snapshotRecord();
+  if (Record.size() > platformlog::kMaxRecordBytes) {
+    Shared.Metrics.counter("snapshots_too_large_total").add();
+    return;
+  }
+  Shared.noteChange("snapshot_appended",
+                    std::to_string(Record.size()) + " bytes");
+  append(std::move(Record));
+}
+
+base::Duration LogFollower::jitter() {
+  return SnapshotInterval * static_cast<std::int64_t>(Random() % 100) / 400;
+}
 
 void LogFollower::appendLoop() {
   std::unique_lock Lock(Mutex);
--- a/src/node/internal/peerdispatcher.cpp
+++ b/src/node/internal/peerdispatcher.cpp
@@ -71,7 +71,8 @@
   case MessageType::IdempotencyFinish:
     return with<ForShard<execution::IdempotencyFinish>>(
         Received, [&](const auto &Message) {
-          Services.Idempotency.onFinish(Message.Content, Message.Shard);
+          Services.Idempotency.onFinish(Connection, Message.Content,
+                                        Message.Shard);
         });
   case MessageType::SuccessorPing:
     return with<ownership::SuccessorPing>(Received, [&](const auto &Ping) {
@@ -81,9 +82,17 @@
     return with<ownership::SuccessorAck>(Received, [&](const auto &Ack) {
       Services.Control.onSuccessorAck(Ack);
     });
+  case MessageType::IdempotencyAck:
+    return with<execution::IdempotencyAck>(
+        Received, [&](const auto &Ack) { Services.Idempotency.onAck(Ack); });
   case MessageType::PermitRequest:
+    return with<ratelimit::PermitRequest>(Received, [&](const auto &Request) {
+      Services.Rates.onPermitRequest(Connection, Request);
+    });
   case MessageType::PermitGrant:
-    break;
+    return with<ratelimit::PermitGrant>(Received, [&](const auto &Grant) {
+      Services.Rates.onPermitGrant(Grant);
+    });
   }
   Shared.Metrics.counter("peer_messages_unknown_total").add();
 }
--- /dev/null
+++ b/src/node/internal/ratecontrol.cpp
@@ -0,0 +1,181 @@
+#include "node/ratecontrol.h"
+
+#include <algorithm>
+
+namespace node {
+
+namespace {
+
+using namespace std::chrono_literals;
+using ratelimit::TakeStatus;
+
+/// Covers a round trip between regions and a short stall of the owner.
+constexpr base::Duration kAskTimeout = 200ms;
+constexpr base::Duration kCollectInterval = 60s;
+
+ratelimit::FleetLimits limitsOf(const config::Configuration &Config) {
+  ratelimit::FleetLimits Result;
+  const config::FleetConfig &Fleet = Config.fleet();
+  for (const config::DataCentreConfig &Each : Fleet.DataCentres)
+    Result.Where.DataCentres.push_back(Each.Name);
+  Result.Where.SlicesPerDataCentre =
+      static_cast<std::uint16_t>(Fleet.SlicesPerDataCentre);
+  for (const auto &[Name, Service] : Config.services())
+    for (const config::WorkspaceConfig &Each : Service->config().Workspaces)
+      Result.Limits.push_back({Name, Each.Name, {Each.Rate, Each.Burst}});
+  return Result;
+}
+
+/// Own data centre, then those of the own region, then the others.
+std::vector<base::DataCentreId> nearestFirst(const config::FleetConfig &Fleet,
+                                             const Runtime &Shared) {
+  std::vector<config::DataCentreConfig> Ordered = Fleet.DataCentres;
+  std::stable_sort(Ordered.begin(), Ordered.end(),
+                   [&Shared](const auto &A, const auto &B) {
+                     const auto Distance = [&Shared](const auto &Each) {
+                       if (Each.Name == Shared.DataCentre)
+                         return 0;
+                       return Each.Region == Shared.Region ? 1 : 2;
+                     };
+                     return Distance(A) < Distance(B);
+                   });
+  std::vector<base::DataCentreId> Result;
+  for (const config::DataCentreConfig &Each : Ordered)
+    Result.push_back(Each.Name);
+  return Result;
+}
+
+} // namespace
+
+RateControl::RateControl(Runtime &Shared, ControlPlane &Control)
+    : Shared(Shared), Control(Control), Grantor(Shared.Time, Limits) {}
+
+void RateControl::configure(const config::Configuration &Config) {
+  const auto Order = nearestFirst(Config.fleet(), Shared);
+  std::lock_guard Lock(Mutex);
+  Limits.adopt(limitsOf(Config), Shared.Time.now(), base::Duration::zero());
+  if (Order.empty())
+    Pool.reset();
+  else if (!Pool || Order != PoolOrder)
+    Pool = std::make_unique<ratelimit::PermitPool>(Shared.Time, Limits,
+                                                   Shared.Self, Order);
+  PoolOrder = Order;
+}
+
+std::optional<base::ErrorKind>
+RateControl::take(const base::ServiceName &Service,
+                  const base::WorkspaceName &Workspace) {
+  std::unique_lock Lock(Mutex);
+  if (!Pool)
+    return refuse(base::ErrorKind::LimitUnavailable);
+  ratelimit::TakeResult Result = Pool->tryTake(Service, Workspace);
+  while (Result.Status == TakeStatus::MustAsk) {
+    const auto Request = Pool->nextAsk(Result.Wait);
+    if (!Request) {
+      Result.Status = Pool->finish(Result.Wait);
+      break;
+    }
+    Lock.unlock();
+    const auto Grant = ask(*Request);
+    Lock.lock();
+    // The pool is made anew when the list of data centres changes.
+    if (!Pool)
+      return refuse(base::ErrorKind::LimitUnavailable);
+    if (!Grant)
+      Pool->undelivered(Request->Sequence);
+    else if (Pool->answered(Result.Wait, *Grant))
+      return std::nullopt;
+  }
+  if (Result.Status == TakeStatus::Taken)
+    return std::nullopt;
+  return refuse(Result.Status == TakeStatus::Unavailable
+                    ? base::ErrorKind::LimitUnavailable
+                    : base::ErrorKind::RateExceeded);
+}
+
+void RateControl::onPermitRequest(transport::ConnectionId Connection,
+                                  const ratelimit::PermitRequest &Request) {
+  const auto Grant = grantLocally(Request);
+  if (Grant && !Grant->Answers.empty())
+    Transport->send(Connection,
+                    {static_cast<std::uint8_t>(MessageType::PermitGrant),
+                     base::encode(*Grant)});
+}
+
+void RateControl::onPermitGrant(const ratelimit::PermitGrant &Grant) {
+  if (Replies.deliver(Grant.Sequence, Grant))
+    return;
+  std::lock_guard Lock(Mutex);
+  if (Pool)
+    Pool->granted(Grant);
+}
+
+void RateControl::tick() {
+  std::vector<ratelimit::PermitRequest> Requests;
+  {
+    std::lock_guard Lock(Mutex);
+    if (!Pool)
+      return;
+    Requests = Pool->tick();
+    if (Shared.Time.now() >= NextCollect) {
+      NextCollect = Shared.Time.now() + kCollectInterval;
+      Grantor.collect();
+    }
+  }
+  for (const ratelimit::PermitRequest &Request : Requests) {
+    const auto Grant = grantLocally(Request);
+    if (!Grant && sendToOwner(Request))
+      continue;
+    std::lock_guard Lock(Mutex);
+    if (!Pool)
+      return;
+    if (Grant)
+      Pool->granted(*Grant);
+    else
+      Pool->undelivered(Request.Sequence);
+  }
+}
+
+/// Grants from a shard that this daemon owns; nothing if its ownership isn't
+/// valid now.
+std::optional<ratelimit::PermitGrant>
+RateControl::grantLocally(const ratelimit::PermitRequest &Request) {
+  if (Request.Shard.DataCentre != Shared.DataCentre)
+    return std::nullopt;
+  const auto Tenure = Control.validOwnership(Request.Shard);
+  if (!Tenure)
+    return std::nullopt;
+  std::lock_guard Lock(Mutex);
+  return Grantor.handle(Request, *Tenure);
+}
+
+bool RateControl::sendToOwner(const ratelimit::PermitRequest &Request) {
+  const auto Owner = Control.ownerOf(Request.Shard);
+  if (!Owner || Owner->Process == Shared.Self)
+    return false;
+  Shared.Metrics.counter("permit_requests_sent_total").add();
+  return Transport->send(Transport->connectionTo(Owner->Peer),
+                         {static_cast<std::uint8_t>(MessageType::PermitRequest),
+                          base::encode(Request)});
+}
+
+std::optional<ratelimit::PermitGrant>
+RateControl::ask(const ratelimit::PermitRequest &Request) {
+  if (auto Grant = grantLocally(Request))
+    return Grant;
+  Replies.expect(Request.Sequence);
+  // Without a message no reply comes, and the wait only ends the expectation.
+  const bool Sent = sendToOwner(Request);
+  return Replies.wait(Request.Sequence,
+                      Sent ? kAskTimeout : base::Duration::zero());
+}
+
+base::ErrorKind RateControl::refuse(base::ErrorKind Kind) {
+  Shared.Metrics
+      .counter("permits_refused_total{kind=\"" +
+               std::string(base::answerFor(Kind).Name) + "\"}")
+      .add();
+  return Kind;
+}
+
+} // namespace node
--- /dev/null
+++ b/src/node/internal/upstreams.cpp
@@ -0,0 +1,123 @@
+#include "node/upstreams.h"
+
+#include "config/configuration.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace node {
+
+namespace {
+
+constexpr std::uint16_t kFirstServerError = 500;
+
+routing::CallResult resultOfRefusal(base::ErrorKind Kind,
+                                    base::Outcome Outcome) {
+  using base::ErrorKind;
+  using routing::CallResult;
+  switch (Kind) {
+  case ErrorKind::Overloaded:
+    return CallResult::Overloaded;
+  case ErrorKind::Draining:
+    return CallResult::Draining;
+  case ErrorKind::Cancelled:
+    return CallResult::Abandoned;
+  case ErrorKind::DeadlineExceeded:
+    // A call that expired in the queue met an overloaded upstream.
+    return Outcome == base::Outcome::NotRun ? CallResult::Overloaded
+                                            : CallResult::Failed;
+  case ErrorKind::NoUpstream:
+  case ErrorKind::OutcomeUnknown:
+    return CallResult::ConnectionFailed;
+  default:
+    return CallResult::Failed;
+  }
+}
+
+} // namespace
+
+routing::CallResult callResultOf(const execution::CallVerdict &Verdict) {
+  if (Verdict.Error)
+    return resultOfRefusal(*Verdict.Error, Verdict.What);
+  if (!Verdict.Answer)
+    return routing::CallResult::ConnectionFailed;
+  if (Verdict.Answer->Error)
+    return resultOfRefusal(*Verdict.Answer->Error, Verdict.What);
+  return Verdict.Answer->Status >= kFirstServerError
+             ? routing::CallResult::Failed
+             : routing::CallResult::Answered;
+}
+
+Upstreams::Upstreams(Runtime &Shared)
+    : Shared(Shared), Table({Shared.DataCentre, Shared.Region}),
+      Router(Table, Bytes, std::random_device()()) {}
+
+void Upstreams::follow(const membership::MemberTable &Members,
+                       const std::vector<base::InstanceId> &Changed) {
+  std::lock_guard Lock(Mutex);
+  Table.follow(Members, Changed, Shared.Time.now(), Shared.Time.wallNow());
+  RegionMembers = 0;
+  for (const membership::MemberEntry &Entry : Members.entries())
+    RegionMembers += Entry.Record.Region == Shared.Region &&
+                             membership::isPresent(Entry.Record.State)
+                         ? 1
+                         : 0;
+}
+
+void Upstreams::configure(const config::Configuration &Config) {
+  std::lock_guard Lock(Mutex);
+  for (const auto &[Name, Service] : Config.services()) {
+    routing::ServiceSettings Settings;
+    Settings.RampUp = Service->config().Backend.ColdStartRamp;
+    Table.configure(Name, Settings);
+  }
+  std::set<base::RegionId> Regions;
+  for (const config::DataCentreConfig &Each : Config.fleet().DataCentres)
+    Regions.insert(Each.Region);
+  for (const base::RegionId &Other : Regions) {
+    if (Other == Shared.Region)
+      continue;
+    const std::size_t Sharers = std::max<std::size_t>(RegionMembers, 1);
+    const std::uint64_t Rate = Config.fleet().RegionBytesPerSecond;
+    Bytes.configure(Shared.Region, Other, Rate, Sharers, Shared.Time.now());
+    Bytes.configure(Other, Shared.Region, Rate, Sharers, Shared.Time.now());
+  }
+}
+
+std::optional<routing::Choice>
+Upstreams::choose(const base::ServiceName &Service,
+                  const routing::CallContext &Context) {
+  std::lock_guard Lock(Mutex);
+  auto Chosen = Router.choose(Service, Context, Shared.Time.now());
+  if (!Chosen)
+    return std::nullopt;
+  return *Chosen;
+}
+
+void Upstreams::finished(const routing::Choice &Target,
+                         const execution::CallVerdict &Verdict,
+                         std::int32_t Load) {
+  routing::CallReport Report;
+  Report.Result = callResultOf(Verdict);
+  Report.Load = Load;
+  Report.ResponseBytes = Verdict.Answer ? Verdict.Answer->size() : 0;
+  std::lock_guard Lock(Mutex);
+  Router.finish(Target, Report, Shared.Time.now());
+}
+
+void Upstreams::exportCounters() {
+  std::lock_guard Lock(Mutex);
+  const routing::RouterCounters &Totals = Router.counters();
+  const auto Set = [this](const char *Name, std::uint64_t Value) {
+    Shared.Metrics.gauge(Name).set(static_cast<std::int64_t>(Value));
+  };
+  Set("routing_own_data_centre", Totals.Chosen[0]);
+  Set("routing_own_region", Totals.Chosen[1]);
+  Set("routing_other_region", Totals.Chosen[2]);
+  Set("routing_spilled", Totals.Spilled);
+  Set("routing_ejections", Totals.Ejections);
+  Set("routing_no_upstream", Totals.NoUpstream);
+}
+
+} // namespace node
--- a/src/node/logfollower.h
+++ b/src/node/logfollower.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -27,7 +28,7 @@
 
   LogFollower(Runtime &Shared, platformlog::LogClient &ReadClient,
               platformlog::LogClient &AppendClient, FleetState &Fleet,
-              ReadListener OnEndReached);
+              base::Duration SnapshotInterval, ReadListener OnEndReached);
   ~LogFollower();
 
   /// Whether to follow the log with long polls.
@@ -36,8 +37,8 @@
   /// Asks for one read up to the end of the log.
   void requestRead();
 
-  /// Queues a record. A record whose append fails for certain is tried again;
-  /// one with an unknown outcome is not.
+  /// Queues a record. It is appended again until the log confirms it, so it
+  /// may stand in the log more than once; all kinds of record allow for that.
   void append(std::string Record);
 
   /// Whether the last read succeeded.
@@ -47,16 +48,23 @@
   void readLoop();
   void appendLoop();
   bool readPage(std::chrono::milliseconds Wait);
-  void appendSnapshotIfDue(const platformlog::ReadResult &Page);
+  void appendSnapshotIfDue();
+  base::Duration jitter();
 
   Runtime &Shared;
   platformlog::LogClient &ReadClient;
   platformlog::LogClient &AppendClient;
   FleetState &Fleet;
+  const base::Duration SnapshotInterval;
   const ReadListener OnEndReached;
+  /// Used by the reading thread only.
+  base::LogOffset SnapshotSeen;
+  base::BootTime SnapshotDueAt;
+  std::uint64_t RecordsDue = 0;
+  std::mt19937_64 Random;
   std::mutex Mutex;
   std::condition_variable Wakeup;
-  bool Following = false;
+  std::atomic<bool> Following = false;
   bool ReadRequested = true;
   bool Stopping = false;
   std::deque<std::string> Queue;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -29,6 +29,7 @@
   IdempotencyBegin,
   IdempotencyReply,
   IdempotencyFinish,
+  IdempotencyAck,
   SuccessorPing,
   SuccessorAck,
 };
--- a/src/node/peerdispatcher.h
+++ b/src/node/peerdispatcher.h
@@ -4,6 +4,7 @@
 #include "node/callclient.h"
 #include "node/controlplane.h"
 #include "node/idempotencyclient.h"
+#include "node/ratecontrol.h"
 #include "node/runtime.h"
 #include "node/servingservice.h"
 #include "transport/peertransport.h"
@@ -18,6 +19,7 @@
   ServingService &Serving;
   ControlPlane &Control;
   IdempotencyClient &Idempotency;
+  RateControl &Rates;
 };
 
 /// Decodes messages from peers and hands them to the services. Messages that
--- a/src/node/ratecontrol.h
+++ b/src/node/ratecontrol.h
@@ -2,23 +2,61 @@
 #define JACKDAW_NODE_RATECONTROL_H
 
 #include "base/errors.h"
-#include "base/types.h"
+#include "node/controlplane.h"
+#include "node/messages.h"
+#include "node/replytable.h"
+#include "node/runtime.h"
+#include "ratelimit/limittable.h"
+#include "ratelimit/permitgrantor.h"
+#include "ratelimit/permitpool.h"
+#include "transport/peertransport.h"
 
+#include <memory>
+#include <mutex>
 #include <optional>
 
 namespace node {
 
-/// Applies the workspaces' fleet-wide limits at the entry. Safe to use from any
+/// Applies the workspaces' fleet-wide limits: takes permits at the entry, and
+/// grants them for the shards that this daemon owns. Safe to use from any
 /// thread.
 class RateControl {
 public:
-  virtual ~RateControl() = default;
+  RateControl(Runtime &Shared, ControlPlane &Control);
 
-  /// Takes one permit, waiting for its owner if need be. Nothing if the
-  /// request may go on, else why not.
-  virtual std::optional<base::ErrorKind>
-  take(const base::ServiceName &Service,
-       const base::WorkspaceName &Workspace) = 0;
+  void setTransport(transport::PeerTransport &Peers) { Transport = &Peers; }
+
+  /// Takes over the limits of a configuration.
+  void configure(const config::Configuration &Config);
+
+  /// Takes one permit, asking shard owners if need be. Nothing if the request
+  /// may go on, else why not.
+  std::optional<base::ErrorKind> take(const base::ServiceName &Service,
+                                      const base::WorkspaceName &Workspace);
+
+  void onPermitRequest(transport::ConnectionId Connection,
+                       const ratelimit::PermitRequest &Request);
+  void onPermitGrant(const ratelimit::PermitGrant &Grant);
+  void tick();
+
+private:
+  std::optional<ratelimit::PermitGrant>
+  grantLocally(const ratelimit::PermitRequest &Request);
+  bool sendToOwner(const ratelimit::PermitRequest &Request);
+  std::optional<ratelimit::PermitGrant>
+  ask(const ratelimit::PermitRequest &Request);
+  base::ErrorKind refuse(base::ErrorKind Kind);
+
+  Runtime &Shared;
+  ControlPlane &Control;
+  transport::PeerTransport *Transport = nullptr;
+  ReplyTable<std::uint64_t, ratelimit::PermitGrant> Replies;
+  std::mutex Mutex;
+  ratelimit::LimitTable Limits;
+  ratelimit::PermitGrantor Grantor;
+  std::unique_ptr<ratelimit::PermitPool> Pool;
+  std::vector<base::DataCentreId> PoolOrder;
+  base::BootTime NextCollect;
 };
 
 } // namespace node
--- a/src/node/replytable.h
+++ b/src/node/replytable.h
@@ -31,14 +31,15 @@
     return Result;
   }
 
-  /// Hands over a reply; it is dropped if nobody expects it.
-  void deliver(const Id &Key, Reply Value) {
+  /// Hands over a reply; false if nobody expects it.
+  bool deliver(const Id &Key, Reply Value) {
     std::lock_guard Lock(Mutex);
     const auto Found = Waiting.find(Key);
     if (Found == Waiting.end())
-      return;
+      return false;
     Found->second = std::move(Value);
     Arrived.notify_all();
+    return true;
   }
 
 private:
--- a/src/node/upstreams.h
+++ b/src/node/upstreams.h
@@ -1,47 +1,58 @@
 #ifndef JACKDAW_NODE_UPSTREAMS_H
 #define JACKDAW_NODE_UPSTREAMS_H
 
-#include "base/clock.h"
-#include "base/types.h"
+#include "config/configuration.h"
 #include "execution/calltracker.h"
+#include "membership/membertable.h"
+#include "node/runtime.h"
+#include "routing/regionbytebudget.h"
+#include "routing/router.h"
+#include "routing/upstreamtable.h"
 
-#include <cstddef>
-#include <cstdint>
+#include <mutex>
 #include <optional>
 #include <vector>
 
 namespace node {
 
-/// A daemon whose backend server can run a call.
-struct Upstream {
-  base::ProcessId Process;
-  base::PeerAddress Peer;
-};
-
-/// Chooses upstreams and learns from what becomes of the calls. Safe to use
-/// from any thread.
+/// Chooses upstreams for calls by locality, load and recent failures. Safe to
+/// use from any thread.
 class Upstreams {
 public:
-  virtual ~Upstreams() = default;
-
-  /// An upstream of the service that is not in `Excluded`; nothing if none can
-  /// be used. Counts the call as in flight until `finished`.
-  virtual std::optional<Upstream>
-  choose(const base::ServiceName &Service, base::BootTime Deadline,
-         const std::vector<base::ProcessId> &Excluded) = 0;
-
-  /// Must be called once for each chosen upstream.
-  virtual void finished(const Upstream &Target,
-                        const execution::CallVerdict &Verdict,
-                        base::Duration Latency) = 0;
-
-  /// Records the load that a response reported.
-  virtual void noteLoad(const base::PeerAddress &Peer, std::uint32_t Load) = 0;
-
-  /// Counts bytes that a call sends.
-  virtual void noteBytes(const Upstream &Target, std::size_t Bytes) = 0;
+  explicit Upstreams(Runtime &Shared);
+
+  /// Takes over members that have changed.
+  void follow(const membership::MemberTable &Members,
+              const std::vector<base::InstanceId> &Changed);
+
+  /// Takes over the services' and the fleet's settings.
+  void configure(const config::Configuration &Config);
+
+  /// An upstream of the service; nothing if none can be used. Counts the call
+  /// as in flight until `finished`.
+  std::optional<routing::Choice> choose(const base::ServiceName &Service,
+                                        const routing::CallContext &Context);
+
+  /// Must be called once for each choice. `Load` is what the response
+  /// reported, negative if there was none.
+  void finished(const routing::Choice &Target,
+                const execution::CallVerdict &Verdict, std::int32_t Load);
+
+  /// Copies the router's counters into the metrics.
+  void exportCounters();
+
+private:
+  Runtime &Shared;
+  std::mutex Mutex;
+  routing::UpstreamTable Table;
+  routing::RegionByteBudget Bytes;
+  routing::Router Router;
+  std::size_t RegionMembers = 1;
 };
 
+/// What the end of a call says about its upstream.
+routing::CallResult callResultOf(const execution::CallVerdict &Verdict);
+
 } // namespace node
 
 #endif // JACKDAW_NODE_UPSTREAMS_H
