--- a/src/node/internal/ratecontrol.cpp
+++ b/src/node/internal/ratecontrol.cpp
@@ -39,9 +39,10 @@
                      };
                      return Distance(A) < Distance(B);
                    });
-  std::vector<base::DataCentreId> Result;
-  for (const config::DataCentreConfig &Each : Ordered)
-    Result.push_back(Each.Name);
+  std::vector<base::DataCentreId> Result(Ordered.size());
+  std::transform(
+      Ordered.begin(), Ordered.end(), Result.begin(),
+      [](const config::DataCentreConfig &Each) { return Each.Name; });
   return Result;
 }
 
