--- a/src/ownership/tests/modelworld.h
+++ b/src/ownership/tests/modelworld.h
@@ -4,8 +4,9 @@
 #include "ownership/shardownership.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <variant>
 
--- a/src/ratelimit/permitpool.h
+++ b/src/ratelimit/permitpool.h
@@ -6,7 +6,6 @@
 
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace ratelimit {
@@ -96,7 +95,6 @@
   struct Parts;
   struct Pending;
 
-  bool takeFromStock(Entry &Held, base::BootTime Now);
   Entry &entryFor(LimitId Id, const Limit &Whole, base::BootTime Now);
   PermitWait waitFor(LimitId Id, Entry &Held, base::BootTime Now) const;
   std::uint16_t missing(const Entry &Held, base::BootTime Now) const;
