Exclude downstream time from the latency of the concurrency limit

Cause: a slow service further down raised the latency of the services above it, whose limits then stopped growing at half of their slots; requests on routes without the slow service waited for these slots.

--- a/bench/overload/metrics.cpp
+++ b/bench/overload/metrics.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int kBinsPerSecond = 10;
+constexpr std::size_t kBinsPerSecond = 10;
 constexpr double kRecoveredShare = 0.9;
 
 /// Highest rate that, applied to each demand as a cap, uses no more than
@@ -29,16 +29,16 @@
 }
 
 std::optional<double> recovery(const std::vector<double> &Goodput) {
-  constexpr std::size_t kStart = kTriggerStartMs / 100;
-  constexpr std::size_t kEnd = kTriggerEndMs / 100;
+  constexpr std::size_t Start = kTriggerStartMs / 100;
+  constexpr std::size_t End = kTriggerEndMs / 100;
   const double Wanted =
-      kRecoveredShare * mean(Goodput, kStart - 3 * kBinsPerSecond, kStart);
-  for (std::size_t At = kEnd; At + 2 * kBinsPerSecond < Goodput.size(); ++At) {
+      kRecoveredShare * mean(Goodput, Start - 3 * kBinsPerSecond, Start);
+  for (std::size_t At = End; At + 2 * kBinsPerSecond < Goodput.size(); ++At) {
     // The last second of the run holds requests that have no time to finish.
     const std::size_t Last = Goodput.size() - kBinsPerSecond;
     if (mean(Goodput, At, At + kBinsPerSecond) >= Wanted &&
         mean(Goodput, At, Last) >= Wanted)
-      return double(At - kEnd) / kBinsPerSecond;
+      return double(At - End) / kBinsPerSecond;
   }
   return std::nullopt;
 }
--- a/bench/overload/node.cpp
+++ b/bench/overload/node.cpp
@@ -53,7 +53,7 @@
 void Node::start(const base::RequestId &Id, double WorkMs) {
   Admission.started();
   Limit->callStarted();
-  StartedAt.emplace(Id, Time.now());
+  Calls.emplace(Id, Call{Time.now(), {}});
   Active.push_back({Id, WorkMs});
 }
 
@@ -72,15 +72,17 @@
     Done.push_back(Each.Id);
     return true;
   });
+  for (const base::RequestId &Id : Done)
+    Calls.at(Id).OwnTime = Time.now() - Calls.at(Id).Since;
   return Done;
 }
 
 void Node::finish(const base::RequestId &Id, overload::CallEnd End) {
-  const auto Found = StartedAt.find(Id);
-  if (Found == StartedAt.end())
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
     return;
-  Limit->callEnded(End, Time.now() - Found->second);
-  StartedAt.erase(Found);
+  Limit->callEnded(End, Found->second.OwnTime);
+  Calls.erase(Found);
   std::erase_if(Active, [&](const Working &Each) { return Each.Id == Id; });
 }
 
--- a/bench/overload/node.h
+++ b/bench/overload/node.h
@@ -51,6 +51,12 @@
   overload::RouteLevels Levels;
 
 private:
+  struct Call {
+    base::BootTime Since;
+    /// Time without that spent in calls to the next service.
+    base::Duration OwnTime;
+  };
+
   struct Working {
     base::RequestId Id;
     double WorkLeftMs;
@@ -63,7 +69,7 @@
   std::deque<overload::QueueEntry> PlainQueue;
   std::vector<Working> Active;
   double UnusedMs = 0;
-  std::unordered_map<base::RequestId, base::BootTime> StartedAt;
+  std::unordered_map<base::RequestId, Call> Calls;
 };
 
 } // namespace bench
--- a/src/overload/concurrencylimit.h
+++ b/src/overload/concurrencylimit.h
@@ -33,7 +33,9 @@
   void callStarted();
 
   /// Must be called once for each started call. `Latency` is the time since
-  /// the call was passed to the backend server.
+  /// the call was passed to the backend server, less the time during which the
+  /// backend server waited for calls of its own that belong to this one;
+  /// otherwise a slow service further down would look like lack of capacity.
   void callEnded(CallEnd End, base::Duration Latency);
 
   /// Must be called about every 10 ms.
--- a/src/overload/tests/admissiontest.cpp
+++ b/src/overload/tests/admissiontest.cpp
@@ -179,14 +179,14 @@
   const base::WorkspaceName Small("small");
   int LargeAdmitted = 0;
   int SmallAdmitted = 0;
-  constexpr int kThreshold = 25;
+  constexpr int Threshold = 25;
   for (int Request = 0; Request < 22000; ++Request) {
     Clock.advance(1ms);
     const auto Value = static_cast<std::uint8_t>(Request * 37 % 128);
     const bool IsSmall = Request % 11 == 0;
     const std::uint8_t Corrected = Demand.correctedValue(
         IsSmall ? Small : Large, PriorityClass::Normal, Value);
-    if (Corrected <= kThreshold)
+    if (Corrected <= Threshold)
       ++(IsSmall ? SmallAdmitted : LargeAdmitted);
   }
   CHECK(SmallAdmitted >= 0.95 * 2000);
