--- a/src/platformlog/boundedarchive.h
+++ b/src/base/boundedarchive.h
@@ -1,5 +1,5 @@
-#ifndef JACKDAW_PLATFORMLOG_BOUNDEDARCHIVE_H
-#define JACKDAW_PLATFORMLOG_BOUNDEDARCHIVE_H
+#ifndef JACKDAW_BASE_BOUNDEDARCHIVE_H
+#define JACKDAW_BASE_BOUNDEDARCHIVE_H
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
@@ -14,22 +14,22 @@
 #include <type_traits>
 #include <vector>
 
-namespace platformlog {
+namespace base {
 
 class BoundedInputArchive;
 
-} // namespace platformlog
+} // namespace base
 
 namespace cereal::traits::detail {
 
 /// cereal looks the counterpart up for types such as enumerations.
-template <> struct get_output_from_input<platformlog::BoundedInputArchive> {
+template <> struct get_output_from_input<base::BoundedInputArchive> {
   using type = cereal::PortableBinaryOutputArchive;
 };
 
 } // namespace cereal::traits::detail
 
-namespace platformlog {
+namespace base {
 
 /// A read-only stream buffer over bytes that stay where they are.
 class MemoryBuffer : public std::streambuf {
@@ -113,6 +113,6 @@
     Ar(Vector.emplace_back());
 }
 
-} // namespace platformlog
+} // namespace base
 
-#endif // JACKDAW_PLATFORMLOG_BOUNDEDARCHIVE_H
+#endif // JACKDAW_BASE_BOUNDEDARCHIVE_H
--- a/src/platformlog/fleetrecord.h
+++ b/src/platformlog/fleetrecord.h
@@ -1,7 +1,7 @@
 #ifndef JACKDAW_PLATFORMLOG_FLEETRECORD_H
 #define JACKDAW_PLATFORMLOG_FLEETRECORD_H
 
-#include "platformlog/codec.h"
+#include "base/codec.h"
 
 #include <cstdint>
 #include <optional>
@@ -10,6 +10,9 @@
 
 namespace platformlog {
 
+using base::decode;
+using base::encode;
+
 /// What a record of the `fleet` stream holds. The numbers are part of the
 /// format.
 enum class RecordKind : std::uint8_t {
--- a/src/transport/internal/connection.cpp
+++ b/src/transport/internal/connection.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstring>
 
 namespace transport {
 
--- a/src/transport/internal/session.cpp
+++ b/src/transport/internal/session.cpp
@@ -5,6 +5,8 @@
 #include <cereal/types/string.hpp>
 #include <sodium.h>
 
+#include <cstring>
+
 namespace transport {
 
 namespace {
