Tell callers the levels of the services below, and judge backend servers by their own time

Levels learned from inner calls were never recorded, so an entry daemon knew only the level of the first hop; now each hop passes on the stricter of its own level and of those below. The concurrency limit no longer counts the time in which a backend server waits for its own calls.

--- a/src/node/callclient.h
+++ b/src/node/callclient.h
@@ -12,7 +12,6 @@
 #include "transport/peertransport.h"
 
 #include <condition_variable>
-#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -36,6 +35,8 @@
 /// The end of a call after all its attempts.
 struct CallResult {
   execution::CallVerdict Verdict;
+  /// What the last response told about the called service.
+  std::optional<LoadReport> Report;
   /// Attempts that were made, the first one included.
   std::uint32_t Attempts = 0;
 };
@@ -51,13 +52,6 @@
   /// first.
   void setTransport(transport::PeerTransport &Peers) { Transport = &Peers; }
 
-  /// Learns the level and load that responses carry.
-  using ReportListener = std::function<void(const overload::RouteKey &Route,
-                                            const LoadReport &Report)>;
-  void setReportListener(ReportListener Listener) {
-    OnReport = std::move(Listener);
-  }
-
   /// Makes the call and waits for its end. Uses up retries of `Allowance`.
   /// Cancels the call if the caller's connection closes.
   CallResult call(const OutgoingCall &Call, retry::RetryAllowance &Allowance,
@@ -73,17 +67,17 @@
 private:
   struct Waiter {
     base::PeerAddress Target;
-    overload::RouteKey Route;
     std::optional<execution::CallVerdict> Verdict;
-    /// Load in the response; negative before one has arrived.
-    std::int32_t Load = -1;
+    /// Set once a response has arrived.
+    std::optional<LoadReport> Report;
     std::condition_variable Settled;
   };
 
   execution::CallVerdict attempt(const OutgoingCall &Call,
                                  const routing::Choice &Target,
                                  std::uint32_t AllowanceUnits,
-                                 const http::CallerConnection &Caller);
+                                 const http::CallerConnection &Caller,
+                                 std::optional<LoadReport> &Report);
   void transmit(const OutgoingCall &Call, const routing::Choice &Target,
                 const execution::CallIdentity &Identity,
                 std::uint32_t AllowanceUnits);
@@ -95,7 +89,6 @@
   Runtime &Shared;
   Upstreams &Choice;
   transport::PeerTransport *Transport = nullptr;
-  ReportListener OnReport;
   mutable std::mutex Mutex;
   execution::CallTracker Tracker;
   retry::RetryBudgetTable Budgets;
--- a/src/node/entryservice.h
+++ b/src/node/entryservice.h
@@ -36,8 +36,6 @@
                         const http::CallerConnection &Connection) override;
   http::Response bodyTooLarge() const override;
 
-  void learnLevel(const overload::RouteKey &Route, const LoadReport &Report);
-
   /// From now on every response closes its connection.
   void startDraining() { Draining = true; }
 
@@ -69,6 +67,7 @@
                                                 Admitted &Request);
   std::optional<base::ErrorKind> admit(Admitted &Request,
                                        const http::Request &Received);
+  void learnLevel(const Admitted &Request, const CallResult &Result);
   execution::Response run(Admitted &Request,
                           const http::CallerConnection &Connection);
   execution::Response runKeyed(Admitted &Request,
@@ -89,6 +88,7 @@
   mutable std::mutex Mutex;
   overload::AdmissionTable Admission;
   overload::WorkspaceDemand Demand;
+  base::BootTime NextSlowTick;
 };
 
 } // namespace node
--- a/src/node/internal/callclient.cpp
+++ b/src/node/internal/callclient.cpp
@@ -59,7 +59,8 @@
     }
     retry::AllowanceGrant Grant = Allowance.give();
     ++Result.Attempts;
-    Result.Verdict = attempt(Call, *Target, Grant.units(), Caller);
+    Result.Verdict =
+        attempt(Call, *Target, Grant.units(), Caller, Result.Report);
     const execution::ResponsePtr &Answer = Result.Verdict.Answer;
     Allowance.giveBack(std::move(Grant), Answer ? Answer->UnusedAllowance : 0);
     // An earlier attempt may have run even if the last one did not.
@@ -84,14 +85,14 @@
   }
 }
 
-execution::CallVerdict
-CallClient::attempt(const OutgoingCall &Call, const routing::Choice &Target,
-                    std::uint32_t AllowanceUnits,
-                    const http::CallerConnection &Caller) {
+execution::CallVerdict CallClient::attempt(const OutgoingCall &Call,
+                                           const routing::Choice &Target,
+                                           std::uint32_t AllowanceUnits,
+                                           const http::CallerConnection &Caller,
+                                           std::optional<LoadReport> &Report) {
   const base::BootTime Started = Shared.Time.now();
   auto Waiting = std::make_shared<Waiter>();
   Waiting->Target = Target.Peer;
-  Waiting->Route = {Call.Service, Call.Route};
   std::unique_lock Lock(Mutex);
   execution::CallSpec Spec;
   Spec.Target = Target.Process;
@@ -103,8 +104,12 @@
   runActions();
   execution::CallVerdict Verdict = wait(Lock, *Waiting, Identity.Id, Caller);
   Waiters.erase(Identity.Id);
+  if (Waiting->Report)
+    Report = Waiting->Report;
   Lock.unlock();
-  Choice.finished(Target, Verdict, Waiting->Load);
+  Choice.finished(
+      Target, Verdict,
+      Waiting->Report ? static_cast<std::int32_t>(Waiting->Report->Load) : -1);
   return Verdict;
 }
 
@@ -181,11 +186,8 @@
 void CallClient::onResponse(const CallResponseMessage &Message) {
   std::lock_guard Lock(Mutex);
   const auto Found = Waiters.find(Message.Id);
-  if (Found != Waiters.end()) {
-    Found->second->Load = static_cast<std::int32_t>(Message.Report.Load);
-    if (OnReport && Message.Report.Level.valid())
-      OnReport(Found->second->Route, Message.Report);
-  }
+  if (Found != Waiters.end() && Message.Report.Level.valid())
+    Found->second->Report = Message.Report;
   if (!Tracker.responseArrived(
           Message.Id, std::make_shared<execution::Response>(Message.Response)))
     Shared.Metrics.counter("responses_unmatched_total").add();
--- a/src/node/internal/daemon.cpp
+++ b/src/node/internal/daemon.cpp
@@ -161,10 +161,6 @@
              const std::vector<base::InstanceId> &Changed) {
         Choice->follow(Members, Changed);
       });
-  Calls->setReportListener(
-      [this](const overload::RouteKey &Route, const LoadReport &Report) {
-        Entry->learnLevel(Route, Report);
-      });
   Follower = std::make_unique<LogFollower>(
       Shared, LogClient, LogClient, Fleet, Settings.SnapshotInterval,
       [this](base::BootTime SentAt, base::LogOffset End) {
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view kRegisterPath = "/-/register";
 constexpr std::uint32_t kRetryAfterSeconds = 1;
+constexpr base::Duration kSlowTickInterval = std::chrono::seconds(1);
 /// Calls are refused below this depth, so that a cycle in the call graph ends.
 constexpr std::uint16_t kMaxDepth = 64;
 
@@ -197,10 +198,13 @@
 EntryService::run(Admitted &Request, const http::CallerConnection &Connection) {
   if (!Request.Inner) {
     retry::RetryAllowance Allowance(Request.Config->fleet().RetryAllowance);
-    return responseOf(Calls.call(Request.Call, Allowance, Connection));
+    const CallResult Result = Calls.call(Request.Call, Allowance, Connection);
+    learnLevel(Request, Result);
+    return responseOf(Result);
   }
   retry::RetryAllowance Allowance(Request.Inner->Grant.units());
   const CallResult Result = Calls.call(Request.Call, Allowance, Connection);
+  learnLevel(Request, Result);
   endInner(Request, Allowance.close());
   return responseOf(Result);
 }
@@ -265,14 +269,26 @@
   return Answer;
 }
 
-void EntryService::learnLevel(const overload::RouteKey &Route,
-                              const LoadReport &Report) {
+/// An entry daemon applies what it learns to new requests; a daemon in the
+/// middle also passes it on to its own callers.
+void EntryService::learnLevel(const Admitted &Request,
+                              const CallResult &Result) {
+  if (!Result.Report)
+    return;
+  const overload::RouteKey Route{Request.Call.Service, Request.Call.Route};
+  if (Request.Inner)
+    return Serving.learnLevel(Request.Inner->Parent, Route,
+                              Result.Report->Level);
   std::lock_guard Lock(Mutex);
-  Admission.learn(Route, Report.Level);
+  Admission.learn(Route, Result.Report->Level);
 }
 
 void EntryService::tick() {
+  const base::BootTime Now = Shared.Time.now();
   std::lock_guard Lock(Mutex);
+  if (Now < NextSlowTick)
+    return;
+  NextSlowTick = Now + kSlowTickInterval;
   Admission.removeStale();
 }
 
--- a/src/node/internal/servingservice.cpp
+++ b/src/node/internal/servingservice.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kQueueEntriesPerSlot = 4;
 constexpr std::size_t kMinQueueEntries = 64;
+constexpr base::Duration kSlowTickInterval = std::chrono::seconds(1);
 
 base::Duration fromMicros(std::uint64_t Micros) {
   constexpr std::uint64_t Limit = 3600ULL * 1000 * 1000;
@@ -188,8 +189,10 @@
   Inner.Deadline = Context.Deadline;
   Inner.Depth = static_cast<std::uint16_t>(Context.Depth + 1);
   Inner.Grant = Context.Allowance.give();
-  if (const auto Route = HandleRoutes.find(Value); Route != HandleRoutes.end())
-    Inner.Parent = Route->second;
+  HandleUse &Use = HandleUses[Value];
+  Inner.Parent = Use.Route;
+  if (Use.InnerCalls++ == 0)
+    Use.InnerSince = Shared.Time.now();
   return Inner;
 }
 
@@ -197,8 +200,12 @@
                                   std::uint32_t UnusedRetries) {
   std::lock_guard Lock(Mutex);
   auto Found = Handles.find(Value);
-  if (Found)
-    (*Found)->Allowance.giveBack(std::move(Inner.Grant), UnusedRetries);
+  if (!Found)
+    return;
+  (*Found)->Allowance.giveBack(std::move(Inner.Grant), UnusedRetries);
+  HandleUse &Use = HandleUses[Value];
+  if (--Use.InnerCalls == 0)
+    Use.InnerTime += Shared.Time.now() - Use.InnerSince;
 }
 
 void ServingService::learnLevel(const overload::RouteName &Parent,
@@ -232,7 +239,11 @@
   for (const overload::DepartedEntry &Left : Queue->takeExpired())
     dropDeparted(Left);
   Admission.tick(Queue->oldestWaits());
-  Executions.tick();
+  if (const base::BootTime Now = Shared.Time.now(); Now >= NextSlowTick) {
+    NextSlowTick = Now + kSlowTickInterval;
+    Executions.tick();
+    Levels.removeStale();
+  }
   WorkReady.notify_one();
 }
 
@@ -295,7 +306,7 @@
   Next.Target = *Local;
   Next.Handle = Handles.open(
       execution::contextOf(Next.Call.Message.Context, Next.Call.ArrivedAt));
-  HandleRoutes.emplace(Next.Handle, Next.Call.Message.Route);
+  HandleUses[Next.Handle].Route = Next.Call.Message.Route;
   Running.emplace(Id, Next.Call.Cancel);
   Limit->callStarted();
   Admission.started();
@@ -323,9 +334,14 @@
 void ServingService::finish(const RunningCall &Ended,
                             execution::Response Answer, overload::CallEnd End,
                             base::Duration Latency) {
-  Limit->callEnded(End, Latency);
+  // The time that the backend server waited for others says nothing about its
+  // own capacity.
+  HandleUse &Use = HandleUses[Ended.Handle];
+  if (Use.InnerCalls > 0)
+    Use.InnerTime += Shared.Time.now() - Use.InnerSince;
+  Limit->callEnded(End, std::max(Latency - Use.InnerTime, base::Duration(1)));
   Answer.UnusedAllowance = Handles.close(Ended.Handle);
-  HandleRoutes.erase(Ended.Handle);
+  HandleUses.erase(Ended.Handle);
   Running.erase(Ended.Id);
   Shared.Metrics.histogram("backend_seconds").record(Latency);
   Shared.Metrics.counter("calls_run_total").add();
--- a/src/node/servingservice.h
+++ b/src/node/servingservice.h
@@ -100,6 +100,15 @@
     base::Duration Waited{};
   };
 
+  /// What a request in flight does besides running at the backend server.
+  struct HandleUse {
+    overload::RouteName Route;
+    std::uint32_t InnerCalls = 0;
+    base::BootTime InnerSince;
+    /// Time with at least one inner call open.
+    base::Duration InnerTime{};
+  };
+
   void workerLoop();
   std::optional<RunningCall> takeNext();
   execution::Response runAtBackend(const RunningCall &Running,
@@ -131,7 +140,8 @@
   std::unordered_map<base::RequestId, PendingCall> Pending;
   std::unordered_map<base::RequestId, std::shared_ptr<std::atomic<bool>>>
       Running;
-  std::unordered_map<base::Handle, overload::RouteName> HandleRoutes;
+  std::unordered_map<base::Handle, HandleUse> HandleUses;
+  base::BootTime NextSlowTick;
   std::vector<std::thread> Workers;
 };
 
