Notice in the log that a newer process of the own instance exists

Cause: mergeAnnounced ignored every announcement of the own instance.

Change: it is treated like a claim from gossip, so a later incarnation sets isSuperseded.

--- a/src/membership/internal/gossipprotocol.cpp
+++ b/src/membership/internal/gossipprotocol.cpp
@@ -84,8 +84,8 @@
 
 void GossipProtocol::mergeAnnounced(const Member &Announced) {
   if (Announced.Instance == self().Instance)
-    return;
-  if (members().find(Announced.Instance))
+    Impl->refute(claimOf(Announced));
+  else if (members().find(Announced.Instance))
     Impl->merge(Announced);
   else if (Impl->isUnknown(Announced.process()))
     Impl->Contacts.addAnnounced(Announced);
--- a/src/membership/tests/gossiptest.cpp
+++ b/src/membership/tests/gossiptest.cpp
@@ -146,4 +146,11 @@
   CHECK_FALSE(Net.Nodes[3].Protocol->isSuperseded());
   Net.run(5s);
   CHECK(Net.Nodes[3].Protocol->isSuperseded());
+  GossipProtocol &Announced = *Net.Nodes[4].Protocol;
+  Newer = Net.Nodes[4].Record;
+  Announced.mergeAnnounced(Newer);
+  CHECK_FALSE(Announced.isSuperseded());
+  Newer.Epoch = base::Incarnation(5000);
+  Announced.mergeAnnounced(Newer);
+  CHECK(Announced.isSuperseded());
 }
