--- a/src/base/errors.h
+++ b/src/base/errors.h
@@ -15,6 +15,7 @@
 enum class ErrorKind : std::uint8_t {
   KeyMissing,
   KeyUnknown,
+  KeyUnverified,
   RouteUnknown,
   RequestMalformed,
   BodyTooLarge,
--- a/src/base/internal/errors.cpp
+++ b/src/base/internal/errors.cpp
@@ -14,6 +14,8 @@
                 "the request carries no key"},
     ErrorAnswer{ErrorKind::KeyUnknown, "key_unknown", 403, NotRun, false,
                 "the key is not granted for this service"},
+    ErrorAnswer{ErrorKind::KeyUnverified, "key_unverified", 503, NotRun, true,
+                "it can't be checked now whether the key has been revoked"},
     ErrorAnswer{ErrorKind::RouteUnknown, "route_unknown", 404, NotRun, false,
                 "no service or route matches the path"},
     ErrorAnswer{ErrorKind::RequestMalformed, "request_malformed", 400, NotRun,
--- a/src/node/entryservice.h
+++ b/src/node/entryservice.h
@@ -30,7 +30,8 @@
 
   EntryService(Runtime &Shared, FleetState &Fleet, CallClient &Calls,
                ServingService &Serving, RateControl &Rates,
-               IdempotencyClient &Idempotency, RegisterListener OnRegister);
+               IdempotencyClient &Idempotency, const LogFollower &Log,
+               RegisterListener OnRegister);
 
   http::Response handle(http::Request Received,
                         const http::CallerConnection &Connection) override;
@@ -65,6 +66,7 @@
                                           Admitted &Request);
   std::optional<base::ErrorKind> identifyCaller(const Credentials &Presented,
                                                 Admitted &Request);
+  bool mayServeIsolated(const config::WorkspaceConfig &Workspace) const;
   std::optional<base::ErrorKind> admit(Admitted &Request,
                                        const http::Request &Received);
   void learnLevel(const Admitted &Request, const CallResult &Result);
@@ -82,6 +84,7 @@
   ServingService &Serving;
   RateControl &Rates;
   IdempotencyClient &Idempotency;
+  const LogFollower &Log;
   const RegisterListener OnRegister;
   std::atomic<bool> Draining = false;
   std::atomic<std::size_t> Open = 0;
--- a/src/node/internal/daemon.cpp
+++ b/src/node/internal/daemon.cpp
@@ -13,6 +13,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <random>
@@ -29,6 +30,8 @@
 constexpr base::Duration kSlowTickInterval = 1s;
 /// Longest time that a planned stop waits for open requests.
 constexpr base::Duration kDrainLimit = 60s;
+/// Time for which the state "stopped" is repeated to peers.
+constexpr std::chrono::milliseconds kFarewellTime = 3s;
 constexpr unsigned kMaxAdministrationConnections = 64;
 
 base::Incarnation makeIncarnation(const base::Clock &Time) {
@@ -143,9 +146,6 @@
   Serving = std::make_unique<ServingService>(Shared);
   Rates = std::make_unique<RateControl>(Shared, *Control);
   Idempotency = std::make_unique<IdempotencyClient>(Shared, Fleet, *Control);
-  Entry = std::make_unique<EntryService>(
-      Shared, Fleet, *Calls, *Serving, *Rates, *Idempotency,
-      [this](const std::string &Body) { return registerBackend(Body); });
   Administration = std::make_unique<AdministrationService>(
       Shared, Fleet, *Control, *Serving, *Calls);
   Services = std::make_unique<PeerServices>(
@@ -167,6 +167,9 @@
         Control->onLogEndReached(SentAt, End);
       });
   Control->setLog(*Follower);
+  Entry = std::make_unique<EntryService>(
+      Shared, Fleet, *Calls, *Serving, *Rates, *Idempotency, *Follower,
+      [this](const std::string &Body) { return registerBackend(Body); });
   Dispatcher.connect(*Services);
   Control->announceStart();
 }
@@ -300,7 +303,9 @@
   All.Control->announceLeaving(membership::MemberState::Stopped);
   All.Shared.noteChange("stopped",
                         std::to_string(Open()) + " requests left open");
-  std::this_thread::sleep_for(10 * kTickInterval);
+  // Gossip repeats the last state for a while.
+  std::this_thread::sleep_for(std::min<std::chrono::milliseconds>(
+      kFarewellTime, All.Settings.DrainTime));
 }
 
 bool Daemon::superseded() const { return Impl->Control->superseded(); }
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -10,6 +10,9 @@
 constexpr std::string_view kRegisterPath = "/-/register";
 constexpr std::uint32_t kRetryAfterSeconds = 1;
 constexpr base::Duration kSlowTickInterval = std::chrono::seconds(1);
+/// Time without the log after which a daemon counts as isolated. Daemons that
+/// don't follow the log read it every 20 s.
+constexpr base::Duration kIsolationTime = std::chrono::seconds(60);
 /// Calls are refused below this depth, so that a cycle in the call graph ends.
 constexpr std::uint16_t kMaxDepth = 64;
 
@@ -42,10 +45,11 @@
 EntryService::EntryService(Runtime &Shared, FleetState &Fleet,
                            CallClient &Calls, ServingService &Serving,
                            RateControl &Rates, IdempotencyClient &Idempotency,
-                           RegisterListener OnRegister)
+                           const LogFollower &Log, RegisterListener OnRegister)
     : Shared(Shared), Fleet(Fleet), Calls(Calls), Serving(Serving),
-      Rates(Rates), Idempotency(Idempotency), OnRegister(std::move(OnRegister)),
-      Admission(Shared.Time), Demand(Shared.Time) {}
+      Rates(Rates), Idempotency(Idempotency), Log(Log),
+      OnRegister(std::move(OnRegister)), Admission(Shared.Time),
+      Demand(Shared.Time) {}
 
 http::Response EntryService::handle(http::Request Received,
                                     const http::CallerConnection &Connection) {
@@ -150,6 +154,8 @@
                 config::digestKey(Presented.Keys.front()))
           : nullptr;
   if (Workspace != nullptr) {
+    if (!mayServeIsolated(*Workspace))
+      return base::ErrorKind::KeyUnverified;
     Scope.Workspace = Workspace->Name;
     return std::nullopt;
   }
@@ -159,6 +165,14 @@
                                 : base::ErrorKind::KeyUnknown;
 }
 
+/// A daemon without the log can't learn that a key was revoked; the service
+/// file chooses whether its workspace is then served.
+bool EntryService::mayServeIsolated(
+    const config::WorkspaceConfig &Workspace) const {
+  return Workspace.Isolated == config::IsolatedBehaviour::Serve ||
+         Shared.Time.now() - Log.lastContact() < kIsolationTime;
+}
+
 std::optional<base::ErrorKind>
 EntryService::admit(Admitted &Request, const http::Request &Received) {
   OutgoingCall &Call = Request.Call;
--- a/src/node/internal/logfollower.cpp
+++ b/src/node/internal/logfollower.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kRetryPause = 500ms;
 /// A daemon that does not follow the log still reads it this often, in case
 /// gossip does not reach it.
-constexpr std::chrono::milliseconds kOccasionalRead = 10000ms;
+constexpr std::chrono::milliseconds kOccasionalRead = 20000ms;
 constexpr std::size_t kMaxQueuedRecords = 1000;
 constexpr std::uint64_t kRecordsPerSnapshot = 500;
 
@@ -26,7 +26,8 @@
     : Shared(Shared), ReadClient(ReadClient), AppendClient(AppendClient),
       Fleet(Fleet), SnapshotInterval(SnapshotInterval),
       OnEndReached(std::move(OnEndReached)), Random(std::random_device()()),
-      Reader([this] { readLoop(); }), Appender([this] { appendLoop(); }) {}
+      LastContact(Shared.Time.now()), Reader([this] { readLoop(); }),
+      Appender([this] { appendLoop(); }) {}
 
 LogFollower::~LogFollower() {
   {
@@ -96,6 +97,7 @@
     Fleet.apply(Page->Records);
     const base::LogOffset After = Fleet.applied();
     if (After >= Page->End) {
+      LastContact = SentAt;
       OnEndReached(SentAt, Page->End);
       appendSnapshotIfDue();
       return true;
--- a/src/node/internal/ratecontrol.cpp
+++ b/src/node/internal/ratecontrol.cpp
@@ -1,6 +1,7 @@
 #include "node/ratecontrol.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace node {
 
@@ -12,6 +13,11 @@
 /// Covers a round trip between regions and a short stall of the owner.
 constexpr base::Duration kAskTimeout = 200ms;
 constexpr base::Duration kCollectInterval = 60s;
+/// Longest wait for the next permit before a refusal.
+constexpr base::Duration kMaxPermitWait = 100ms;
+/// Requests that may wait like this at once, so that a workspace far over its
+/// rate can't occupy all connections.
+constexpr std::size_t kMaxSleepers = 32;
 
 ratelimit::FleetLimits limitsOf(const config::Configuration &Config) {
   ratelimit::FleetLimits Result;
@@ -54,7 +60,7 @@
 void RateControl::configure(const config::Configuration &Config) {
   const auto Order = nearestFirst(Config.fleet(), Shared);
   std::lock_guard Lock(Mutex);
-  Limits.adopt(limitsOf(Config), Shared.Time.now(), base::Duration::zero());
+  adoptLimits(Config);
   if (Order.empty())
     Pool.reset();
   else if (!Pool || Order != PoolOrder)
@@ -63,35 +69,94 @@
   PoolOrder = Order;
 }
 
+/// Takes over the changed services only if the placement stays as it is,
+/// because a whole adoption of many limits holds up requests.
+void RateControl::adoptLimits(const config::Configuration &Config) {
+  const base::BootTime Now = Shared.Time.now();
+  const bool Whole = AdoptedFleet != Config.sharedFleet();
+  if (Whole)
+    Limits.adopt(limitsOf(Config), Now, base::Duration::zero());
+  else
+    adoptChanges(Config, Now);
+  Adopted = Config.services();
+  AdoptedFleet = Config.sharedFleet();
+}
+
+void RateControl::adoptChanges(const config::Configuration &Config,
+                               base::BootTime Now) {
+  for (const auto &[Name, Old] : Adopted) {
+    const config::Service *New = Config.service(Name);
+    for (const config::WorkspaceConfig &Each : Old->config().Workspaces)
+      if (New == nullptr || New->workspace(Each.Name) == nullptr)
+        Limits.setLimit(Name, Each.Name, std::nullopt, Now);
+  }
+  for (const auto &[Name, New] : Config.services()) {
+    const auto Old = Adopted.find(Name);
+    if (Old != Adopted.end() && Old->second == New)
+      continue;
+    for (const config::WorkspaceConfig &Each : New->config().Workspaces)
+      Limits.setLimit(Name, Each.Name, ratelimit::Limit{Each.Rate, Each.Burst},
+                      Now);
+  }
+}
+
 std::optional<base::ErrorKind>
 RateControl::take(const base::ServiceName &Service,
                   const base::WorkspaceName &Workspace) {
   std::unique_lock Lock(Mutex);
+  TakeStatus Status = takeOnce(Lock, Service, Workspace);
+  if (Status == TakeStatus::RateExceeded &&
+      waitForPermit(Lock, Service, Workspace))
+    Status = takeOnce(Lock, Service, Workspace);
+  if (Status == TakeStatus::Taken)
+    return std::nullopt;
+  return refuse(Status == TakeStatus::Unavailable
+                    ? base::ErrorKind::LimitUnavailable
+                    : base::ErrorKind::RateExceeded);
+}
+
+/// Takes a permit from the pool or from the owners that it names.
+TakeStatus RateControl::takeOnce(std::unique_lock<std::mutex> &Lock,
+                                 const base::ServiceName &Service,
+                                 const base::WorkspaceName &Workspace) {
   if (!Pool)
-    return refuse(base::ErrorKind::LimitUnavailable);
+    return TakeStatus::Unavailable;
   ratelimit::TakeResult Result = Pool->tryTake(Service, Workspace);
   while (Result.Status == TakeStatus::MustAsk) {
     const auto Request = Pool->nextAsk(Result.Wait);
-    if (!Request) {
-      Result.Status = Pool->finish(Result.Wait);
-      break;
-    }
+    if (!Request)
+      return Pool->finish(Result.Wait);
     Lock.unlock();
     const auto Grant = ask(*Request);
     Lock.lock();
-    // The pool is made anew when the list of data centres changes.
+    // The pool goes when the fleet file loses its data centres.
     if (!Pool)
-      return refuse(base::ErrorKind::LimitUnavailable);
+      return TakeStatus::Unavailable;
     if (!Grant)
       Pool->undelivered(Request->Sequence);
     else if (Pool->answered(Result.Wait, *Grant))
-      return std::nullopt;
+      return TakeStatus::Taken;
   }
-  if (Result.Status == TakeStatus::Taken)
-    return std::nullopt;
-  return refuse(Result.Status == TakeStatus::Unavailable
-                    ? base::ErrorKind::LimitUnavailable
-                    : base::ErrorKind::RateExceeded);
+  return Result.Status;
+}
+
+/// Waits if a permit will be there shortly; a small burst is often spread over
+/// slices that are all just short of a whole permit. False if it isn't worth
+/// it.
+bool RateControl::waitForPermit(std::unique_lock<std::mutex> &Lock,
+                                const base::ServiceName &Service,
+                                const base::WorkspaceName &Workspace) {
+  if (!Pool || Sleepers >= kMaxSleepers)
+    return false;
+  const auto Wait = Pool->nextPermitIn(Service, Workspace);
+  if (!Wait || *Wait > kMaxPermitWait)
+    return false;
+  ++Sleepers;
+  Lock.unlock();
+  std::this_thread::sleep_for(*Wait);
+  Lock.lock();
+  --Sleepers;
+  return true;
 }
 
 void RateControl::onPermitRequest(transport::ConnectionId Connection,
--- a/src/node/logfollower.h
+++ b/src/node/logfollower.h
@@ -41,8 +41,9 @@
   /// may stand in the log more than once; all kinds of record allow for that.
   void append(std::string Record);
 
-  /// Whether the last read succeeded.
-  bool connected() const { return Connected; }
+  /// When the last successful read of the log was sent; the start of the
+  /// process before the first one.
+  base::BootTime lastContact() const { return LastContact; }
 
 private:
   void readLoop();
@@ -69,6 +70,7 @@
   bool Stopping = false;
   std::deque<std::string> Queue;
   std::atomic<bool> Connected = false;
+  std::atomic<base::BootTime> LastContact;
   std::thread Reader;
   std::thread Appender;
 };
--- a/src/node/ratecontrol.h
+++ b/src/node/ratecontrol.h
@@ -40,6 +40,14 @@
   void tick();
 
 private:
+  void adoptLimits(const config::Configuration &Config);
+  void adoptChanges(const config::Configuration &Config, base::BootTime Now);
+  ratelimit::TakeStatus takeOnce(std::unique_lock<std::mutex> &Lock,
+                                 const base::ServiceName &Service,
+                                 const base::WorkspaceName &Workspace);
+  bool waitForPermit(std::unique_lock<std::mutex> &Lock,
+                     const base::ServiceName &Service,
+                     const base::WorkspaceName &Workspace);
   std::optional<ratelimit::PermitGrant>
   grantLocally(const ratelimit::PermitRequest &Request);
   bool sendToOwner(const ratelimit::PermitRequest &Request);
@@ -56,6 +64,10 @@
   ratelimit::PermitGrantor Grantor;
   std::unique_ptr<ratelimit::PermitPool> Pool;
   std::vector<base::DataCentreId> PoolOrder;
+  /// Services whose limits have been adopted, to find what has changed.
+  config::Configuration::ServiceMap Adopted;
+  std::shared_ptr<const config::FleetConfig> AdoptedFleet;
+  std::size_t Sleepers = 0;
   base::BootTime NextCollect;
 };
 
