--- a/src/node/callclient.h
+++ b/src/node/callclient.h
@@ -78,9 +78,11 @@
                                  std::uint32_t AllowanceUnits,
                                  const http::CallerConnection &Caller,
                                  std::optional<LoadReport> &Report);
-  void transmit(const OutgoingCall &Call, const routing::Choice &Target,
-                const execution::CallIdentity &Identity,
-                std::uint32_t AllowanceUnits);
+  std::string encodeCall(const OutgoingCall &Call,
+                         const execution::CallIdentity &Identity,
+                         std::uint32_t AllowanceUnits) const;
+  void transmit(const routing::Choice &Target, const base::RequestId &Id,
+                std::string Body);
   execution::CallVerdict wait(std::unique_lock<std::mutex> &Lock,
                               Waiter &Waiting, const base::RequestId &Id,
                               const http::CallerConnection &Caller);
--- a/src/node/internal/callclient.cpp
+++ b/src/node/internal/callclient.cpp
@@ -93,14 +93,18 @@
   const base::BootTime Started = Shared.Time.now();
   auto Waiting = std::make_shared<Waiter>();
   Waiting->Target = Target.Peer;
-  std::unique_lock Lock(Mutex);
   execution::CallSpec Spec;
   Spec.Target = Target.Process;
   Spec.Deadline = std::min(Call.Deadline, Started + Call.AttemptTimeout);
   Spec.Idempotent = Call.Idempotent;
+  std::unique_lock Lock(Mutex);
   const execution::CallIdentity Identity = Tracker.open(Spec);
   Waiters.emplace(Identity.Id, Waiting);
-  transmit(Call, Target, Identity, AllowanceUnits);
+  Lock.unlock();
+  // Encoding a large body takes milliseconds, so it is done without the lock.
+  std::string Body = encodeCall(Call, Identity, AllowanceUnits);
+  Lock.lock();
+  transmit(Target, Identity.Id, std::move(Body));
   runActions();
   execution::CallVerdict Verdict = wait(Lock, *Waiting, Identity.Id, Caller);
   Waiters.erase(Identity.Id);
@@ -113,10 +117,9 @@
   return Verdict;
 }
 
-void CallClient::transmit(const OutgoingCall &Call,
-                          const routing::Choice &Target,
-                          const execution::CallIdentity &Identity,
-                          std::uint32_t AllowanceUnits) {
+std::string CallClient::encodeCall(const OutgoingCall &Call,
+                                   const execution::CallIdentity &Identity,
+                                   std::uint32_t AllowanceUnits) const {
   CallMessage Message;
   Message.Context.Identity = Identity;
   Message.Context.Scope = Call.Scope;
@@ -129,16 +132,18 @@
   Message.Route = Call.Route;
   Message.WaitedMicros = microseconds(Call.WaitedBefore);
   Message.Request = Call.Request;
-  std::string Body = base::encode(Message);
+  return base::encode(Message);
+}
 
+void CallClient::transmit(const routing::Choice &Target,
+                          const base::RequestId &Id, std::string Body) {
   const transport::ConnectionId Connection =
       Transport->connectionTo(Target.Peer);
-  if (!Tracker.sending(Identity.Id,
-                       execution::ConnectionId(Connection.value())))
+  if (!Tracker.sending(Id, execution::ConnectionId(Connection.value())))
     return;
   if (!Transport->send(Connection,
                        makeFrame(MessageType::Call, std::move(Body))))
-    Tracker.connectFailed(Identity.Id);
+    Tracker.connectFailed(Id);
 }
 
 execution::CallVerdict CallClient::wait(std::unique_lock<std::mutex> &Lock,
