--- /dev/null
+++ b/src/tools/administration.h
@@ -0,0 +1,35 @@
+#ifndef JACKDAW_TOOLS_ADMINISTRATION_H
+#define JACKDAW_TOOLS_ADMINISTRATION_H
+
+#include "base/types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tools {
+
+/// Names of the pages of the administration API.
+const std::vector<std::string> &pageNames();
+
+/// An IPv4 address and port, as in `10.0.0.7:7200`; nothing if malformed.
+std::optional<base::PeerAddress> parseAddress(std::string_view Text);
+
+/// A comma-separated list of addresses. Adds one text to `Errors` for each
+/// malformed entry, and one if the list is empty.
+std::vector<base::PeerAddress> parseAddresses(const std::string &Text,
+                                              std::vector<std::string> &Errors);
+
+/// Body of a page, or the reason why it could not be read.
+struct Page {
+  std::optional<std::string> Body;
+  std::string Problem;
+};
+
+/// Reads one page of a daemon's administration API, on a new connection.
+Page fetchPage(const base::PeerAddress &Daemon, const std::string &Name);
+
+} // namespace tools
+
+#endif // JACKDAW_TOOLS_ADMINISTRATION_H
--- /dev/null
+++ b/src/tools/ctlmain.cpp
@@ -0,0 +1,46 @@
+#include "base/settings.h"
+#include "tools/administration.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace {
+
+using base::SettingType;
+
+constexpr int kUnreadable = 1;
+constexpr int kUsage = 2;
+
+const std::vector<base::SettingSpec> kTable{
+    {"administration", SettingType::Text, "", "", 0, 0, true, false,
+     "address of a daemon's administration API, as in 10.0.0.7:7200"},
+    {"page", SettingType::Text, "", "status", 0, 0, false, false,
+     "status, members, shards, configuration, events or metrics"}};
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  const base::Settings Values = base::readSettingsOrExit(
+      kTable, "jackdaw-ctl: prints a page of a daemon's administration API",
+      Count, Arguments);
+  const auto Daemon = tools::parseAddress(Values.text("administration"));
+  const std::string &Name = Values.text("page");
+  const auto &Names = tools::pageNames();
+  const bool Known = std::find(Names.begin(), Names.end(), Name) != Names.end();
+  if (!Daemon)
+    std::cerr << "error: --administration: '" << Values.text("administration")
+              << "' is not an IPv4 address and port, as in 10.0.0.7:7200\n";
+  if (!Known)
+    std::cerr << "error: --page: '" << Name << "' is not a page\n";
+  if (!Daemon || !Known)
+    return kUsage;
+  const tools::Page Received = tools::fetchPage(*Daemon, Name);
+  if (!Received.Body) {
+    std::cerr << "error: " << Daemon->str() << ": " << Received.Problem << "\n";
+    return kUnreadable;
+  }
+  std::cout << *Received.Body;
+  if (!Received.Body->ends_with('\n'))
+    std::cout << "\n";
+  return 0;
+}
--- /dev/null
+++ b/src/tools/eventlist.h
@@ -0,0 +1,35 @@
+#ifndef JACKDAW_TOOLS_EVENTLIST_H
+#define JACKDAW_TOOLS_EVENTLIST_H
+
+#include "base/timeline.h"
+#include "base/types.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tools {
+
+/// Events of a `/events` page; nothing if the text is not a JSON array of
+/// complete events.
+std::optional<std::vector<base::Event>> parseEvents(const std::string &Json);
+
+/// One line without a line end: UTC time with microseconds, instance, kind and
+/// detail. Control characters in the detail become spaces, so that an event
+/// can't forge another line.
+std::string formatEvent(const base::Event &Event);
+
+/// The merged time line of several daemons.
+struct CollectedTimeline {
+  std::vector<base::Event> Events;
+  /// One text for each daemon whose events could not be read.
+  std::vector<std::string> Problems;
+};
+
+/// Reads the events of all daemons at the same time and merges them.
+CollectedTimeline
+collectTimeline(const std::vector<base::PeerAddress> &Daemons);
+
+} // namespace tools
+
+#endif // JACKDAW_TOOLS_EVENTLIST_H
