Send fewer permit messages where the burst allows it

Cause: a pool asked for permits whenever a quarter of a 250 ms horizon was missing and reported uses after 100 ms, so one entry daemon with 8 workspaces and 240 requests/s sent and received 30.9 KB/s of permit messages, against 5 KB/s allowed for control (docs/CAPACITY.md). Ruled out: larger grants alone, since the reports made most of the messages.

Change: the horizon and the report interval grow with burst over rate, up to 600 ms and 500 ms; a pool asks when half of its horizon is missing; a message to an owner takes all reports for it along.

Limits with little demand per daemon still cost one message pair per request.

--- a/src/ratelimit/internal/permitpool.cpp
+++ b/src/ratelimit/internal/permitpool.cpp
@@ -13,9 +13,19 @@
 
 namespace {
 
-// Time of expected demand that a pool holds: 200 ms and a round trip between
-// regions.
-constexpr double kHorizonSeconds = 0.25;
+// Time of expected demand that a pool holds. At least 200 ms and a round trip
+// between regions; more where the burst allows it, so that a daemon with eight
+// busy workspaces stays within 5 KB/s of control traffic.
+constexpr double kMinHorizonSeconds = 0.25;
+constexpr double kMaxHorizonSeconds = 0.6;
+
+// Longest time to the report of a use, within the same bounds of traffic.
+constexpr double kMinReportSeconds = 0.1;
+constexpr double kMaxReportSeconds = 0.5;
+
+// Part of the time in which the rate fills the burst that pools may hold back,
+// since permits held or not yet reported are missing in the bucket.
+constexpr double kHeldShare = 0.25;
 
 constexpr base::Duration kPrefetchInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kMaxAttempts = 4;
@@ -27,6 +37,18 @@
 
 constexpr base::Duration kIdleTime = std::chrono::seconds(10);
 
+double heldSeconds(const Limit &Whole, double Least, double Most) {
+  const double FillSeconds = Whole.Burst / std::max(Whole.RatePerSecond, 1e-9);
+  return std::clamp(kHeldShare * FillSeconds, Least, Most);
+}
+
+base::Duration reportInterval(const Limit &Whole) {
+  const double Seconds =
+      heldSeconds(Whole, kMinReportSeconds, kMaxReportSeconds);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
 } // namespace
 
 struct PermitPool::Entry {
@@ -124,11 +146,14 @@
 }
 
 // Permits that are missing for the demand of the horizon.
-std::uint16_t PermitPool::missing(const Entry &Held, base::BootTime Now) const {
-  const double Target = Held.demand(Now) * kHorizonSeconds;
+std::uint16_t PermitPool::missing(const Entry &Held, const Limit &Whole,
+                                  base::BootTime Now) const {
+  const double Target =
+      Held.demand(Now) *
+      heldSeconds(Whole, kMinHorizonSeconds, kMaxHorizonSeconds);
   const double Present = Held.Stock.left(Now) + Held.Asked;
   const double Missing = std::floor(Target - Present);
-  if (Missing < 1 || Missing < Target / 4)
+  if (Missing < 1 || Missing < Target / 2)
     return 0;
   return static_cast<std::uint16_t>(std::min(Missing, 10000.0));
 }
@@ -143,7 +168,7 @@
     return std::nullopt;
   const base::BootTime Now = Time.now();
   Entry &Held = Found->second;
-  const PermitAsk Ask{Wait.Id, Slice, 1, missing(Held, Now)};
+  const PermitAsk Ask{Wait.Id, Slice, 1, missing(Held, *Whole, Now)};
   Held.Asked += Ask.Want + 1;
   Held.Hints.asked(Slice, 1, Now);
   PermitRequest Request;
@@ -191,7 +216,7 @@
 void PermitPool::prefetch(LimitId Id, const Limit &Whole, Entry &Held,
                           base::BootTime Now) {
   Held.NextPrefetch = Now + kPrefetchInterval;
-  std::uint16_t Missing = missing(Held, Now);
+  std::uint16_t Missing = missing(Held, Whole, Now);
   if (Missing == 0)
     return;
   std::size_t Asked = 0;
@@ -213,9 +238,17 @@
   }
 }
 
-void PermitPool::collectReports(LimitId Id, Entry &Held, base::BootTime Now) {
+// A message to an owner takes all reports for it along.
+void PermitPool::collectReports(LimitId Id, const Limit *Whole, Entry &Held,
+                                base::BootTime Now) {
+  const PermitStock::ReportRule Rule{Held.Hints.sliceBurst(),
+                                     Whole ? reportInterval(*Whole)
+                                           : base::Duration::zero()};
+  const auto HasMessage = [this](const ownership::ShardId &Shard) {
+    return Impl->Outbox.count(Shard) != 0;
+  };
   for (PermitStock::DueReport &Due :
-       Held.Stock.dueReports(Id, Held.Hints.sliceBurst(), Now))
+       Held.Stock.dueReports(Id, Rule, HasMessage, Now))
     messageTo(Due.Shard).Reports.push_back(Due.Report);
 }
 
@@ -230,7 +263,7 @@
                         Limits.placementVersion(), Impl->Order);
       prefetch(Id, *Whole, Held, Now);
     }
-    collectReports(Id, Held, Now);
+    collectReports(Id, Whole, Held, Now);
   }
   std::erase_if(Impl->Entries, [Now](const auto &Item) {
     return Item.second.Stock.empty() && Now >= Item.second.DemandAt + kIdleTime;
--- a/src/ratelimit/internal/permitstock.cpp
+++ b/src/ratelimit/internal/permitstock.cpp
@@ -11,8 +11,6 @@
 constexpr base::Duration kHold = std::chrono::milliseconds(700);
 static_assert(kHold < kPermitExpiry);
 
-constexpr base::Duration kReportInterval = std::chrono::milliseconds(100);
-
 // A report is sent earlier once it frees this part of a slice's burst.
 constexpr double kPromptShare = 0.25;
 
@@ -62,25 +60,28 @@
   return Sum;
 }
 
-bool PermitStock::isDue(const Batch &One, double SliceBurst,
-                        base::BootTime Now) {
+bool PermitStock::isDue(const Batch &One, const ReportRule &Rule,
+                        bool HasMessage, base::BootTime Now) {
   if (One.Returned != One.ReportedReturned)
     return true;
   const int Unreported = One.Used - One.ReportedUsed;
   return Unreported > 0 &&
-         (Unreported >= std::max(1.0, kPromptShare * SliceBurst) ||
-          Now >= One.FirstUnreported + kReportInterval);
+         (HasMessage ||
+          Unreported >= std::max(1.0, kPromptShare * Rule.SliceBurst) ||
+          Now >= One.FirstUnreported + Rule.Interval);
 }
 
-std::vector<PermitStock::DueReport>
-PermitStock::dueReports(LimitId Limit, double SliceBurst, base::BootTime Now) {
+std::vector<PermitStock::DueReport> PermitStock::dueReports(
+    LimitId Limit, const ReportRule &Rule,
+    const std::function<bool(const ownership::ShardId &)> &HasMessage,
+    base::BootTime Now) {
   std::vector<DueReport> Result;
   for (Batch &One : Batches) {
     if (Now >= One.UsableUntil) {
       One.Returned += One.Left;
       One.Left = 0;
     }
-    if (!isDue(One, SliceBurst, Now))
+    if (!isDue(One, Rule, HasMessage(One.Shard), Now))
       continue;
     One.ReportedUsed = One.Used;
     One.ReportedReturned = One.Returned;
--- a/src/ratelimit/internal/permitstock.h
+++ b/src/ratelimit/internal/permitstock.h
@@ -3,6 +3,7 @@
 
 #include "ratelimit/messages.h"
 
+#include <functional>
 #include <vector>
 
 namespace ratelimit {
@@ -24,10 +25,21 @@
     PermitReport Report;
   };
 
+  /// When uses are to be reported.
+  struct ReportRule {
+    /// Burst of one slice; uses of a good part of it are reported at once.
+    double SliceBurst = 0;
+    /// Longest time from a use to its report.
+    base::Duration Interval{};
+  };
+
   /// Reports that are due; marks expired permits as returned and forgets
-  /// finished grants. `SliceBurst` is the burst of one slice.
-  std::vector<DueReport> dueReports(LimitId Limit, double SliceBurst,
-                                    base::BootTime Now);
+  /// finished grants. `HasMessage` tells whether a message to a shard goes out
+  /// anyway and can take reports along.
+  std::vector<DueReport>
+  dueReports(LimitId Limit, const ReportRule &Rule,
+             const std::function<bool(const ownership::ShardId &)> &HasMessage,
+             base::BootTime Now);
 
   bool empty() const { return Batches.empty(); }
 
@@ -47,7 +59,8 @@
     base::BootTime LastUse;
   };
 
-  static bool isDue(const Batch &One, double SliceBurst, base::BootTime Now);
+  static bool isDue(const Batch &One, const ReportRule &Rule, bool HasMessage,
+                    base::BootTime Now);
 
   std::vector<Batch> Batches;
 };
--- a/src/ratelimit/permitpool.h
+++ b/src/ratelimit/permitpool.h
@@ -97,10 +97,12 @@
 
   Entry &entryFor(LimitId Id, const Limit &Whole, base::BootTime Now);
   PermitWait waitFor(LimitId Id, Entry &Held, base::BootTime Now) const;
-  std::uint16_t missing(const Entry &Held, base::BootTime Now) const;
+  std::uint16_t missing(const Entry &Held, const Limit &Whole,
+                        base::BootTime Now) const;
   void prefetch(LimitId Id, const Limit &Whole, Entry &Held,
                 base::BootTime Now);
-  void collectReports(LimitId Id, Entry &Held, base::BootTime Now);
+  void collectReports(LimitId Id, const Limit *Whole, Entry &Held,
+                      base::BootTime Now);
   PermitRequest &messageTo(const ownership::ShardId &Shard);
   void dropLatePending(base::BootTime Now);
   void forgetPending(std::uint64_t Sequence, bool WasAnswered);
