Close callers' connections while a daemon drains

Keep-alive connections stayed with a draining daemon until it stopped, and a request sent at that moment was cut. Responses during the drain now close their connection.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -104,9 +104,9 @@
     const MHD_ConnectionInfo *Info =
         MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     const SocketConnection Caller(Info->connect_fd);
-    return queueResponse(Connection,
-                         Answering->handle(std::move(Pending.Received), Caller),
-                         false);
+    const Response Answer =
+        Answering->handle(std::move(Pending.Received), Caller);
+    return queueResponse(Connection, Answer, Answer.CloseConnection);
   }
 
   static MHD_Result onAccess(void *Self, MHD_Connection *Connection,
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -34,6 +34,9 @@
   std::uint16_t Status = 200;
   std::vector<Header> Headers;
   std::string Body;
+  /// Whether the server closes the connection after this response; a matter of
+  /// one hop, so it isn't serialized.
+  bool CloseConnection = false;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Status, Headers, Body);
