--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -22,6 +22,7 @@
       std::this_thread::sleep_for(10ms);
     }
     http::Response Answer;
+    Answer.CloseConnection = Received.Path == "/last";
     Answer.Headers = {{"X-Path", Received.Path}, {"X-Query", Received.Query}};
     Answer.Body = Received.Method + " " + Received.Body;
     return Answer;
@@ -95,6 +96,14 @@
   CHECK(Handler.SawClose);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a response can close its connection, so that "
+                           "callers leave a draining server") {
+  const auto Kept = Client.exchange(url(), {"GET", "/", "", {}, ""}, {});
+  CHECK_FALSE(http::findHeader(Kept.Received.Headers, "connection") == "close");
+  const auto Last = Client.exchange(url(), {"GET", "/last", "", {}, ""}, {});
+  CHECK(http::findHeader(Last.Received.Headers, "connection") == "close");
+}
+
 TEST_CASE("percent-decoding refuses malformed escapes and zero bytes") {
   CHECK(http::percentDecode("a%2fb") == "a/b");
   CHECK_FALSE(http::percentDecode("%"));
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -60,6 +60,8 @@
   http::Response Answer = process(std::move(Received), Connection);
   Shared.Metrics.histogram("request_seconds")
       .record(Shared.Time.now() - Started);
+  // Callers move to another daemon before this one stops.
+  Answer.CloseConnection = Draining;
   return Answer;
 }
 
