--- a/src/node/administrationservice.h
+++ b/src/node/administrationservice.h
@@ -11,12 +11,12 @@
 namespace node {
 
 /// The read-only administration API: `/status`, `/members`, `/shards`,
-/// `/configuration`, `/events?after=N`, `/metrics`.
+/// `/configuration`, `/refusals`, `/events?after=N`, `/metrics`.
 class AdministrationService final : public http::Handler {
 public:
   AdministrationService(Runtime &Shared, FleetState &Fleet,
                         ControlPlane &Control, ServingService &Serving,
-                        CallClient &Calls);
+                        CallClient &Calls, EntryService &Entry);
 
   http::Response handle(http::Request Received,
                         const http::CallerConnection &Connection) override;
@@ -33,6 +33,7 @@
   ControlPlane &Control;
   ServingService &Serving;
   CallClient &Calls;
+  EntryService &Entry;
 };
 
 } // namespace node
--- a/src/node/entryservice.h
+++ b/src/node/entryservice.h
@@ -6,6 +6,7 @@
 #include "node/fleetstate.h"
 #include "node/idempotencyclient.h"
 #include "node/ratecontrol.h"
+#include "node/refusallog.h"
 #include "node/requestidentity.h"
 #include "node/runtime.h"
 #include "node/servingservice.h"
@@ -43,6 +44,8 @@
   /// Requests being answered now.
   std::size_t openRequests() const { return Open; }
 
+  const RefusalLog &refusals() const { return Refusals; }
+
   void tick();
 
 private:
@@ -75,7 +78,9 @@
   execution::Response runKeyed(Admitted &Request,
                                const http::CallerConnection &Connection);
   void endInner(Admitted &Request, std::uint32_t UnusedRetries);
-  http::Response toHttp(const execution::Response &Answer) const;
+  http::Response toHttp(const Admitted &Request,
+                        const execution::Response &Answer);
+  http::Response refuse(const Admitted &Request, base::ErrorKind Kind);
   http::Response refusal(base::ErrorKind Kind) const;
 
   Runtime &Shared;
@@ -86,6 +91,7 @@
   IdempotencyClient &Idempotency;
   const LogFollower &Log;
   const RegisterListener OnRegister;
+  RefusalLog Refusals;
   std::atomic<bool> Draining = false;
   std::atomic<std::size_t> Open = 0;
   mutable std::mutex Mutex;
--- a/src/node/internal/administrationservice.cpp
+++ b/src/node/internal/administrationservice.cpp
@@ -17,9 +17,10 @@
 AdministrationService::AdministrationService(Runtime &Shared, FleetState &Fleet,
                                              ControlPlane &Control,
                                              ServingService &Serving,
-                                             CallClient &Calls)
+                                             CallClient &Calls,
+                                             EntryService &Entry)
     : Shared(Shared), Fleet(Fleet), Control(Control), Serving(Serving),
-      Calls(Calls) {}
+      Calls(Calls), Entry(Entry) {}
 
 http::Response AdministrationService::handle(http::Request Received,
                                              const http::CallerConnection &) {
@@ -33,6 +34,8 @@
     return plainText(Control.ownershipStatus());
   if (Received.Path == "/configuration")
     return plainText(configuration());
+  if (Received.Path == "/refusals")
+    return plainText(Entry.refusals().text());
   if (Received.Path == "/metrics")
     return plainText(Shared.Metrics.exposition());
   if (Received.Path == "/events")
--- a/src/node/internal/daemon.cpp
+++ b/src/node/internal/daemon.cpp
@@ -146,8 +146,6 @@
   Serving = std::make_unique<ServingService>(Shared);
   Rates = std::make_unique<RateControl>(Shared, *Control);
   Idempotency = std::make_unique<IdempotencyClient>(Shared, Fleet, *Control);
-  Administration = std::make_unique<AdministrationService>(
-      Shared, Fleet, *Control, *Serving, *Calls);
   Services = std::make_unique<PeerServices>(
       PeerServices{*Calls, *Serving, *Control, *Idempotency, *Rates});
 
@@ -170,6 +168,8 @@
   Entry = std::make_unique<EntryService>(
       Shared, Fleet, *Calls, *Serving, *Rates, *Idempotency, *Follower,
       [this](const std::string &Body) { return registerBackend(Body); });
+  Administration = std::make_unique<AdministrationService>(
+      Shared, Fleet, *Control, *Serving, *Calls, *Entry);
   Dispatcher.connect(*Services);
   Control->announceStart();
 }
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -48,8 +48,8 @@
                            const LogFollower &Log, RegisterListener OnRegister)
     : Shared(Shared), Fleet(Fleet), Calls(Calls), Serving(Serving),
       Rates(Rates), Idempotency(Idempotency), Log(Log),
-      OnRegister(std::move(OnRegister)), Admission(Shared.Time),
-      Demand(Shared.Time) {}
+      OnRegister(std::move(OnRegister)), Refusals(Shared.Time),
+      Admission(Shared.Time), Demand(Shared.Time) {}
 
 http::Response EntryService::handle(http::Request Received,
                                     const http::CallerConnection &Connection) {
@@ -86,17 +86,17 @@
   Admitted Request;
   Request.Config = Fleet.configuration();
   if (const auto Kind = findRoute(Received, Request))
-    return refusal(*Kind);
+    return refuse(Request, *Kind);
   if (const auto Kind = identify(Presented, Request))
-    return refusal(*Kind);
+    return refuse(Request, *Kind);
   if (const auto Kind = admit(Request, Received)) {
     if (Request.Inner)
       endInner(Request, Request.Inner->Grant.units());
-    return refusal(*Kind);
+    return refuse(Request, *Kind);
   }
   Request.Call.Request = std::move(Received);
-  return toHttp(Request.Key ? runKeyed(Request, Connection)
-                            : run(Request, Connection));
+  return toHttp(Request, Request.Key ? runKeyed(Request, Connection)
+                                     : run(Request, Connection));
 }
 
 std::optional<base::ErrorKind>
@@ -249,8 +249,18 @@
   return Answer;
 }
 
-http::Response EntryService::toHttp(const execution::Response &Answer) const {
+http::Response EntryService::refuse(const Admitted &Request,
+                                    base::ErrorKind Kind) {
+  Refusals.record(Request.Call.Service, Request.Call.Scope.Workspace, Kind,
+                  base::answerFor(Kind).DefaultOutcome);
+  return refusal(Kind);
+}
+
+http::Response EntryService::toHttp(const Admitted &Request,
+                                    const execution::Response &Answer) {
   if (Answer.Error) {
+    Refusals.record(Request.Call.Service, Request.Call.Scope.Workspace,
+                    *Answer.Error, Answer.What);
     http::Response Refused = refusal(*Answer.Error);
     for (http::Header &Each : Refused.Headers)
       if (Each.Name == "Jackdaw-Outcome")
--- /dev/null
+++ b/src/node/internal/refusallog.cpp
@@ -0,0 +1,27 @@
+#include "node/refusallog.h"
+
+namespace node {
+
+void RefusalLog::record(const base::ServiceName &Service,
+                        const base::WorkspaceName &Workspace,
+                        base::ErrorKind Kind, base::Outcome What) {
+  std::lock_guard Lock(Mutex);
+  Newest.push_front({Time.wallNow(), Service, Workspace, Kind, What});
+  if (Newest.size() > kCapacity)
+    Newest.pop_back();
+}
+
+std::string RefusalLog::text() const {
+  std::lock_guard Lock(Mutex);
+  std::string Text;
+  for (const Refusal &Each : Newest)
+    Text += std::to_string(Each.At.time_since_epoch().count()) + " service " +
+            (Each.Service.empty() ? "none" : Each.Service.str()) +
+            " workspace " +
+            (Each.Workspace.empty() ? "none" : Each.Workspace.str()) + " " +
+            std::string(base::answerFor(Each.Kind).Name) + " " +
+            std::string(base::outcomeName(Each.What)) + "\n";
+  return Text;
+}
+
+} // namespace node
--- /dev/null
+++ b/src/node/refusallog.h
@@ -0,0 +1,46 @@
+#ifndef JACKDAW_NODE_REFUSALLOG_H
+#define JACKDAW_NODE_REFUSALLOG_H
+
+#include "base/clock.h"
+#include "base/errors.h"
+#include "base/types.h"
+
+#include <deque>
+#include <mutex>
+#include <string>
+
+namespace node {
+
+/// The newest refusals of a daemon, so that operators can see why a request was
+/// refused. Safe to use from any thread.
+class RefusalLog {
+public:
+  explicit RefusalLog(const base::Clock &Time) : Time(Time) {}
+
+  void record(const base::ServiceName &Service,
+              const base::WorkspaceName &Workspace, base::ErrorKind Kind,
+              base::Outcome What);
+
+  /// One line a refusal, newest first: UTC microseconds, service, workspace,
+  /// error kind and outcome.
+  std::string text() const;
+
+private:
+  struct Refusal {
+    base::WallTime At;
+    base::ServiceName Service;
+    base::WorkspaceName Workspace;
+    base::ErrorKind Kind;
+    base::Outcome What;
+  };
+
+  static constexpr std::size_t kCapacity = 200;
+
+  const base::Clock &Time;
+  mutable std::mutex Mutex;
+  std::deque<Refusal> Newest;
+};
+
+} // namespace node
+
+#endif // JACKDAW_NODE_REFUSALLOG_H
--- a/src/tools/ctlmain.cpp
+++ b/src/tools/ctlmain.cpp
@@ -15,7 +15,7 @@
     {"administration", SettingType::Text, "", "", 0, 0, true, false,
      "address of a daemon's administration API, as in 10.0.0.7:7200"},
     {"page", SettingType::Text, "", "status", 0, 0, false, false,
-     "status, members, shards, configuration, events or metrics"}};
+     "status, members, shards, configuration, refusals, events or metrics"}};
 
 } // namespace
 
--- a/src/tools/internal/administration.cpp
+++ b/src/tools/internal/administration.cpp
@@ -19,7 +19,8 @@
 
 const std::vector<std::string> &pageNames() {
   static const std::vector<std::string> Names{
-      "status", "members", "shards", "configuration", "events", "metrics"};
+      "status",   "members", "shards", "configuration",
+      "refusals", "events",  "metrics"};
   return Names;
 }
 
