Put changed slots and queue limits in force under load

The daemon took over new slots and queue settings only while nothing was queued or running, so under lasting load an accepted change never took effect. In-flight calls now count in the new limit, and queued calls move to the new queue.

--- a/src/node/internal/servingservice.cpp
+++ b/src/node/internal/servingservice.cpp
@@ -3,6 +3,7 @@
 #include "http/client.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace node {
 
@@ -88,28 +89,46 @@
 void ServingService::setBackend(Backend New) {
   std::lock_guard Lock(Mutex);
   const std::uint32_t Slots = std::max<std::uint32_t>(New.Limits.Slots, 1);
-  const bool Changed = !Local || Local->Service != New.Service ||
-                       Local->Port != New.Port ||
-                       Local->Limits.Slots != New.Limits.Slots ||
-                       Local->Limits.Queue != New.Limits.Queue;
+  const bool NewServer =
+      !Local || Local->Service != New.Service || Local->Port != New.Port;
+  const bool NewSlots = NewServer || Local->Limits.Slots != New.Limits.Slots;
+  const bool NewQueue = NewSlots || Local->Limits.Queue != New.Limits.Queue;
   Local = std::move(New);
-  // Calls in flight are counted in the old limit, so an unchanged backend
-  // server keeps it.
-  if (!Changed && Limit)
-    return;
-  if (!Limit || Limit->inFlight() == 0)
-    Limit = std::make_unique<overload::AdaptiveLimit>(Shared.Time, Slots);
-  if (!Queue || Queue->size() == 0) {
-    overload::QueueSettings Settings;
-    Settings.MaxLength =
-        std::max(kMinQueueEntries, kQueueEntriesPerSlot * Slots);
-    Settings.MaxWait = Local->Limits.Queue;
-    Queue = std::make_unique<overload::FairQueue>(Shared.Time, Settings);
-  }
+  if (NewSlots)
+    replaceLimit(Slots);
+  if (NewQueue)
+    replaceQueue(Slots);
   while (Workers.size() < Slots)
     Workers.emplace_back([this] { workerLoop(); });
 }
 
+/// Calls in flight count in the new limit too.
+void ServingService::replaceLimit(std::uint32_t Slots) {
+  auto New = std::make_unique<overload::AdaptiveLimit>(Shared.Time, Slots);
+  const std::uint32_t InFlight = Limit ? Limit->inFlight() : 0;
+  for (std::uint32_t Count = 0; Count < InFlight; ++Count)
+    New->callStarted();
+  Limit = std::move(New);
+}
+
+/// Moves what is queued, with the time that it has waited.
+void ServingService::replaceQueue(std::uint32_t Slots) {
+  overload::QueueSettings Settings;
+  Settings.MaxLength = std::max(kMinQueueEntries, kQueueEntriesPerSlot * Slots);
+  Settings.MaxWait = Local->Limits.Queue;
+  const auto Old = std::exchange(
+      Queue, std::make_unique<overload::FairQueue>(Shared.Time, Settings));
+  if (!Old)
+    return;
+  while (auto Next = Old->pop()) {
+    Next->Entry.WaitedBefore += Next->Waited;
+    if (const auto Left = Queue->push(std::move(Next->Entry)))
+      dropDeparted(*Left);
+  }
+  for (const overload::DepartedEntry &Left : Old->takeExpired())
+    dropDeparted(Left);
+}
+
 std::optional<Backend> ServingService::backend() const {
   std::lock_guard Lock(Mutex);
   return Local;
--- a/src/node/servingservice.h
+++ b/src/node/servingservice.h
@@ -109,6 +109,8 @@
     base::Duration InnerTime{};
   };
 
+  void replaceLimit(std::uint32_t Slots);
+  void replaceQueue(std::uint32_t Slots);
   void workerLoop();
   std::optional<RunningCall> takeNext();
   execution::Response runAtBackend(const RunningCall &Running,
--- /dev/null
+++ b/src/node/tests/servingservicetest.cpp
@@ -0,0 +1,139 @@
+#include "node/servingservice.h"
+#include "backend/backendstandin.h"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Collects the frames that a service sends.
+class FakeTransport final : public transport::PeerTransport {
+public:
+  base::PeerAddress address() const override { return {"127.0.0.1", 1}; }
+  transport::ConnectionId connectionTo(const base::PeerAddress &) override {
+    return transport::ConnectionId(1);
+  }
+  bool send(transport::ConnectionId, transport::Frame Message) override {
+    std::lock_guard Lock(Mutex);
+    if (static_cast<node::MessageType>(Message.Type) ==
+        node::MessageType::CallResponse)
+      if (auto Decoded = base::decode<node::CallResponseMessage>(Message.Body))
+        Responses.push_back(std::move(*Decoded));
+    if (static_cast<node::MessageType>(Message.Type) ==
+        node::MessageType::FenceReply)
+      if (auto Decoded = base::decode<execution::FenceReply>(Message.Body))
+        Fenced.push_back(std::move(*Decoded));
+    Changed.notify_all();
+    return true;
+  }
+  void close(transport::ConnectionId) override {}
+  void sendDatagram(const base::PeerAddress &, const std::string &) override {}
+
+  bool waitForResponses(std::size_t Count) {
+    std::unique_lock Lock(Mutex);
+    return Changed.wait_for(Lock, 20s,
+                            [&] { return Responses.size() >= Count; });
+  }
+
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::vector<node::CallResponseMessage> Responses;
+  std::vector<execution::FenceReply> Fenced;
+};
+
+struct Fixture {
+  base::SystemClock Clock;
+  node::Runtime Shared{Clock,
+                       {base::InstanceId("serving"), base::Incarnation(1)},
+                       base::DataCentreId("dc1"),
+                       base::RegionId("north")};
+  FakeTransport Peers;
+  std::unique_ptr<standins::BackendStandin> Server;
+  node::ServingService Serving{Shared};
+  std::uint64_t LastSequence = 0;
+
+  Fixture() { Serving.setTransport(Peers); }
+
+  void startBackend(std::uint32_t Slots, std::chrono::microseconds WorkTime) {
+    standins::BackendSettings Settings;
+    Settings.Service = "orders";
+    Settings.WorkTime = WorkTime;
+    Server = std::make_unique<standins::BackendStandin>(Settings);
+    setLimits(Slots, 10s);
+  }
+
+  void setLimits(std::uint32_t Slots, std::chrono::milliseconds Queue) {
+    node::Backend Local;
+    Local.Service = base::ServiceName("orders");
+    Local.Port = Server->port();
+    Local.Limits.Slots = Slots;
+    Local.Limits.Queue = Queue;
+    Serving.setBackend(Local);
+  }
+
+  execution::CallIdentity send() {
+    node::CallMessage Message;
+    execution::CallIdentity &Identity = Message.Context.Identity;
+    Identity.Id = base::makeRandomId<base::RequestId>();
+    Identity.Sender = {base::InstanceId("entry"), base::Incarnation(1)};
+    Identity.Sequence = execution::CallSequence(++LastSequence);
+    Identity.Target = Shared.Self;
+    Message.Context.Service = base::ServiceName("orders");
+    Message.Context.TimeLeftMicros = 15'000'000;
+    Message.Request = {"POST", "/", "", {}, ""};
+    const execution::CallIdentity Copy = Identity;
+    Serving.onCall(transport::ConnectionId(7), std::move(Message));
+    return Copy;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "without a backend server a call is refused as not "
+                           "run") {
+  send();
+  REQUIRE(Peers.waitForResponses(1));
+  CHECK(Peers.Responses[0].Response.Error == base::ErrorKind::NoUpstream);
+  CHECK(Peers.Responses[0].Response.What == base::Outcome::NotRun);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a draining daemon refuses new calls and finishes "
+                           "those that it has admitted") {
+  startBackend(1, 50ms);
+  send();
+  Serving.startDraining();
+  send();
+  REQUIRE(Peers.waitForResponses(2));
+  CHECK(Peers.Responses[0].Response.Error == base::ErrorKind::Draining);
+  CHECK(Peers.Responses[0].Response.What == base::Outcome::NotRun);
+  CHECK(Peers.Responses[1].Response.What == base::Outcome::Ran);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a queued call that is fenced never reaches the "
+                           "backend server") {
+  startBackend(1, 200ms);
+  send();
+  const execution::CallIdentity Second = send();
+  Serving.onFence(transport::ConnectionId(8), {Second, false});
+  REQUIRE(Peers.Fenced.size() == 1);
+  CHECK(Peers.Fenced[0].State == execution::FenceState::NotRun);
+  REQUIRE(Peers.waitForResponses(1));
+  CHECK(Serving.openCalls() == 0);
+  CHECK(Shared.Metrics.counter("calls_run_total").value() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "changed limits take effect under load and lose no "
+                           "call") {
+  startBackend(1, 20ms);
+  for (int Count = 0; Count < 10; ++Count)
+    send();
+  setLimits(2, 9s);
+  setLimits(1, 8s);
+  REQUIRE(Peers.waitForResponses(10));
+  for (const node::CallResponseMessage &Each : Peers.Responses)
+    CHECK(Each.Response.What == base::Outcome::Ran);
+  CHECK(Serving.openCalls() == 0);
+}
