--- a/tests/backend/backendstandin.cpp
+++ b/tests/backend/backendstandin.cpp
@@ -28,6 +28,8 @@
 
 BackendStandin::BackendStandin(BackendSettings Initial)
     : Settings(std::move(Initial)) {
+  if (!Settings.Journal.empty())
+    Journal.open(Settings.Journal, std::ios::app);
   http::ServerSettings Listening;
   Listening.Port = Settings.Port;
   Server = http::Server::start(Listening, *this).value();
@@ -72,7 +74,7 @@
   {
     std::lock_guard Lock(Mutex);
     if (const auto Order = http::findHeader(Received.Headers, "x-order"))
-      ++Executions[*Order];
+      recordExecution(*Order);
     LastRequest = "query " + Received.Query + "\n";
     for (const http::Header &Each : Received.Headers)
       LastRequest += Each.Name + ": " + Each.Value + "\n";
@@ -86,6 +88,12 @@
   return {200, {{"Content-Type", "text/plain"}}, Echo};
 }
 
+void BackendStandin::recordExecution(const std::string &Order) {
+  ++Executions[Order];
+  if (Journal.is_open())
+    Journal << Order << std::endl;
+}
+
 http::Response BackendStandin::callOthers(const http::Request &Received) {
   std::string Joined = Settings.Service + " " + Received.Path + "\n";
   for (const std::string &Target : Settings.Calls) {
--- a/tests/backend/backendstandin.h
+++ b/tests/backend/backendstandin.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,6 +26,10 @@
   std::uint16_t DaemonPort = 0;
   /// Calls that each request makes through the daemon, as "service/path".
   std::vector<std::string> Calls;
+  /// File to which the `X-Order` of each execution is appended before the work
+  /// begins, so that executions can be counted after the process has died;
+  /// empty for none.
+  std::string Journal;
 };
 
 /// A stand-in for a backend server. It works on as many requests at once as it
@@ -51,12 +56,14 @@
   http::Response control(const http::Request &Received);
   http::Response work(const http::Request &Received);
   http::Response callOthers(const http::Request &Received);
+  void recordExecution(const std::string &Order);
 
   BackendSettings Settings;
   std::mutex Mutex;
   std::condition_variable SlotFreed;
   unsigned Busy = 0;
   std::map<std::string, std::uint64_t> Executions;
+  std::ofstream Journal;
   std::string LastRequest;
   std::unique_ptr<http::Server> Server;
 };
--- a/tests/backend/main.cpp
+++ b/tests/backend/main.cpp
@@ -22,7 +22,9 @@
     {"daemon-port", SettingType::Number, "", "0", 0, 65535, false, false,
      "caller port of the local daemon to register with, 0 for none"},
     {"calls", SettingType::Text, "", "", 0, 0, false, false,
-     "comma-separated calls per request, each service/path"}};
+     "comma-separated calls per request, each service/path"},
+    {"journal", SettingType::Text, "", "", 0, 0, false, false,
+     "file to append the X-Order of each execution to"}};
 
 std::vector<std::string> split(const std::string &Text) {
   std::vector<std::string> Parts;
@@ -46,6 +48,7 @@
   Settings.DaemonPort =
       static_cast<std::uint16_t>(Values.number("daemon-port"));
   Settings.Calls = split(Values.text("calls"));
+  Settings.Journal = Values.text("journal");
 
   sigset_t Signals;
   sigemptyset(&Signals);
--- /dev/null
+++ b/tests/process/processundertest.cpp
@@ -0,0 +1,139 @@
+#include "process/processundertest.h"
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <regex>
+#include <stdexcept>
+#include <thread>
+
+namespace process {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval(5);
+
+std::vector<char *> pointersTo(std::vector<std::string> &Texts) {
+  std::vector<char *> Pointers;
+  Pointers.reserve(Texts.size() + 1);
+  for (std::string &Each : Texts)
+    Pointers.push_back(Each.data());
+  Pointers.push_back(nullptr);
+  return Pointers;
+}
+
+std::vector<std::string> childEnvironment() {
+  std::vector<std::string> Result;
+  for (char **Each = environ; *Each != nullptr; ++Each)
+    if (!std::string(*Each).starts_with("JACKDAW_"))
+      Result.emplace_back(*Each);
+  Result.emplace_back("JACKDAW_FLEET_SECRET=secret-of-the-process-tests");
+  return Result;
+}
+
+int unnamedFile() {
+  std::string Path = "/tmp/process-tests-XXXXXX";
+  const int File = mkstemp(Path.data());
+  if (File < 0)
+    throw std::runtime_error("no file for a child's output");
+  unlink(Path.c_str());
+  return File;
+}
+
+} // namespace
+
+bool waitUntil(const std::function<bool()> &Condition,
+               std::chrono::milliseconds Limit) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+ProcessUnderTest::ProcessUnderTest(const std::string &Program,
+                                   const std::vector<std::string> &Arguments)
+    : Output(unnamedFile()) {
+  std::vector<std::string> Texts{std::string(JACKDAW_BIN_DIR) + "/" + Program};
+  Texts.insert(Texts.end(), Arguments.begin(), Arguments.end());
+  std::vector<std::string> Environment = childEnvironment();
+  const std::vector<char *> Argv = pointersTo(Texts);
+  const std::vector<char *> Envp = pointersTo(Environment);
+  Id = fork();
+  if (Id < 0)
+    throw std::runtime_error("can't fork");
+  if (Id > 0)
+    return;
+  // Only async-signal-safe calls from here on: other threads may hold locks.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(Output, STDOUT_FILENO);
+  dup2(Output, STDERR_FILENO);
+  // Sockets of the test that stay open here would hide that it closed them.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
+  execve(Argv.front(), Argv.data(), Envp.data());
+  _exit(127);
+}
+
+ProcessUnderTest::~ProcessUnderTest() {
+  kill();
+  close(Output);
+}
+
+void ProcessUnderTest::signal(int Number) const {
+  if (!Exit)
+    ::kill(Id, Number);
+}
+
+void ProcessUnderTest::kill() {
+  signal(SIGKILL);
+  waitForExit();
+}
+
+std::optional<int>
+ProcessUnderTest::waitForExit(std::chrono::milliseconds Limit) {
+  waitUntil(
+      [this] {
+        int Status = 0;
+        if (!Exit && waitpid(Id, &Status, WNOHANG) == Id)
+          Exit = WIFSIGNALED(Status) ? 128 + WTERMSIG(Status)
+                                     : WEXITSTATUS(Status);
+        return Exit.has_value();
+      },
+      Limit);
+  return Exit;
+}
+
+std::string ProcessUnderTest::output() const {
+  std::string Text;
+  std::array<char, 4096> Block{};
+  for (;;) {
+    const ssize_t Size = pread(Output, Block.data(), Block.size(),
+                               static_cast<off_t>(Text.size()));
+    if (Size <= 0)
+      return Text;
+    Text.append(Block.data(), static_cast<std::size_t>(Size));
+  }
+}
+
+std::uint16_t ProcessUnderTest::port(const std::string &Word) const {
+  const std::regex Pattern("(^|\n)ports? [^\n]*\\b" + Word +
+                           " ([0-9]+)[^\n]*\n|"
+                           "(^|\n)" +
+                           Word + " ([0-9]+)\n");
+  std::smatch Found;
+  std::string Text;
+  if (!waitUntil([&] {
+        Text = output();
+        return std::regex_search(Text, Found, Pattern);
+      }))
+    throw std::runtime_error("no port was told: " + Text);
+  const std::string Digits = Found[2].matched ? Found[2] : Found[4];
+  return static_cast<std::uint16_t>(std::stoul(Digits));
+}
+
+} // namespace process
