--- a/src/node/entryservice.h
+++ b/src/node/entryservice.h
@@ -30,14 +30,13 @@
 
   EntryService(Runtime &Shared, FleetState &Fleet, CallClient &Calls,
                ServingService &Serving, RateControl &Rates,
-               IdempotencyClient &Idempotency, RegisterListener OnRegister);
+               IdempotencyClient &Idempotency, const LogFollower &Log,
+               RegisterListener OnRegister);
 
   http::Response handle(http::Request Received,
                         const http::CallerConnection &Connection) override;
   http::Response bodyTooLarge() const override;
 
-  void learnLevel(const overload::RouteKey &Route, const LoadReport &Report);
-
   /// From now on every response closes its connection.
   void startDraining() { Draining = true; }
 
@@ -67,8 +66,10 @@
                                           Admitted &Request);
   std::optional<base::ErrorKind> identifyCaller(const Credentials &Presented,
                                                 Admitted &Request);
+  bool mayServeIsolated(const config::WorkspaceConfig &Workspace) const;
   std::optional<base::ErrorKind> admit(Admitted &Request,
                                        const http::Request &Received);
+  void learnLevel(const Admitted &Request, const CallResult &Result);
   execution::Response run(Admitted &Request,
                           const http::CallerConnection &Connection);
   execution::Response runKeyed(Admitted &Request,
@@ -83,12 +84,14 @@
   ServingService &Serving;
   RateControl &Rates;
   IdempotencyClient &Idempotency;
+  const LogFollower &Log;
   const RegisterListener OnRegister;
   std::atomic<bool> Draining = false;
   std::atomic<std::size_t> Open = 0;
   mutable std::mutex Mutex;
   overload::AdmissionTable Admission;
   overload::WorkspaceDemand Demand;
+  base::BootTime NextSlowTick;
 };
 
 } // namespace node
--- a/src/node/internal/callclient.cpp
+++ b/src/node/internal/callclient.cpp
@@ -59,7 +59,8 @@
     }
     retry::AllowanceGrant Grant = Allowance.give();
     ++Result.Attempts;
-    Result.Verdict = attempt(Call, *Target, Grant.units(), Caller);
+    Result.Verdict =
+        attempt(Call, *Target, Grant.units(), Caller, Result.Report);
     const execution::ResponsePtr &Answer = Result.Verdict.Answer;
     Allowance.giveBack(std::move(Grant), Answer ? Answer->UnusedAllowance : 0);
     // An earlier attempt may have run even if the last one did not.
@@ -84,34 +85,41 @@
   }
 }
 
-execution::CallVerdict
-CallClient::attempt(const OutgoingCall &Call, const routing::Choice &Target,
-                    std::uint32_t AllowanceUnits,
-                    const http::CallerConnection &Caller) {
+execution::CallVerdict CallClient::attempt(const OutgoingCall &Call,
+                                           const routing::Choice &Target,
+                                           std::uint32_t AllowanceUnits,
+                                           const http::CallerConnection &Caller,
+                                           std::optional<LoadReport> &Report) {
   const base::BootTime Started = Shared.Time.now();
   auto Waiting = std::make_shared<Waiter>();
   Waiting->Target = Target.Peer;
-  Waiting->Route = {Call.Service, Call.Route};
-  std::unique_lock Lock(Mutex);
   execution::CallSpec Spec;
   Spec.Target = Target.Process;
   Spec.Deadline = std::min(Call.Deadline, Started + Call.AttemptTimeout);
   Spec.Idempotent = Call.Idempotent;
+  std::unique_lock Lock(Mutex);
   const execution::CallIdentity Identity = Tracker.open(Spec);
   Waiters.emplace(Identity.Id, Waiting);
-  transmit(Call, Target, Identity, AllowanceUnits);
+  Lock.unlock();
+  // Encoding a large body takes milliseconds, so it is done without the lock.
+  std::string Body = encodeCall(Call, Identity, AllowanceUnits);
+  Lock.lock();
+  transmit(Target, Identity.Id, std::move(Body));
   runActions();
   execution::CallVerdict Verdict = wait(Lock, *Waiting, Identity.Id, Caller);
   Waiters.erase(Identity.Id);
+  if (Waiting->Report)
+    Report = Waiting->Report;
   Lock.unlock();
-  Choice.finished(Target, Verdict, Waiting->Load);
+  Choice.finished(
+      Target, Verdict,
+      Waiting->Report ? static_cast<std::int32_t>(Waiting->Report->Load) : -1);
   return Verdict;
 }
 
-void CallClient::transmit(const OutgoingCall &Call,
-                          const routing::Choice &Target,
-                          const execution::CallIdentity &Identity,
-                          std::uint32_t AllowanceUnits) {
+std::string CallClient::encodeCall(const OutgoingCall &Call,
+                                   const execution::CallIdentity &Identity,
+                                   std::uint32_t AllowanceUnits) const {
   CallMessage Message;
   Message.Context.Identity = Identity;
   Message.Context.Scope = Call.Scope;
@@ -124,16 +132,18 @@
   Message.Route = Call.Route;
   Message.WaitedMicros = microseconds(Call.WaitedBefore);
   Message.Request = Call.Request;
-  std::string Body = base::encode(Message);
+  return base::encode(Message);
+}
 
+void CallClient::transmit(const routing::Choice &Target,
+                          const base::RequestId &Id, std::string Body) {
   const transport::ConnectionId Connection =
       Transport->connectionTo(Target.Peer);
-  if (!Tracker.sending(Identity.Id,
-                       execution::ConnectionId(Connection.value())))
+  if (!Tracker.sending(Id, execution::ConnectionId(Connection.value())))
     return;
   if (!Transport->send(Connection,
                        makeFrame(MessageType::Call, std::move(Body))))
-    Tracker.connectFailed(Identity.Id);
+    Tracker.connectFailed(Id);
 }
 
 execution::CallVerdict CallClient::wait(std::unique_lock<std::mutex> &Lock,
@@ -181,11 +191,8 @@
 void CallClient::onResponse(const CallResponseMessage &Message) {
   std::lock_guard Lock(Mutex);
   const auto Found = Waiters.find(Message.Id);
-  if (Found != Waiters.end()) {
-    Found->second->Load = static_cast<std::int32_t>(Message.Report.Load);
-    if (OnReport && Message.Report.Level.valid())
-      OnReport(Found->second->Route, Message.Report);
-  }
+  if (Found != Waiters.end() && Message.Report.Level.valid())
+    Found->second->Report = Message.Report;
   if (!Tracker.responseArrived(
           Message.Id, std::make_shared<execution::Response>(Message.Response)))
     Shared.Metrics.counter("responses_unmatched_total").add();
--- a/src/node/internal/entryservice.cpp
+++ b/src/node/internal/entryservice.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::string_view kRegisterPath = "/-/register";
 constexpr std::uint32_t kRetryAfterSeconds = 1;
+constexpr base::Duration kSlowTickInterval = std::chrono::seconds(1);
+/// Time without the log after which a daemon counts as isolated. Daemons that
+/// don't follow the log read it every 20 s.
+constexpr base::Duration kIsolationTime = std::chrono::seconds(60);
 /// Calls are refused below this depth, so that a cycle in the call graph ends.
 constexpr std::uint16_t kMaxDepth = 64;
 
@@ -41,10 +45,11 @@
 EntryService::EntryService(Runtime &Shared, FleetState &Fleet,
                            CallClient &Calls, ServingService &Serving,
                            RateControl &Rates, IdempotencyClient &Idempotency,
-                           RegisterListener OnRegister)
+                           const LogFollower &Log, RegisterListener OnRegister)
     : Shared(Shared), Fleet(Fleet), Calls(Calls), Serving(Serving),
-      Rates(Rates), Idempotency(Idempotency), OnRegister(std::move(OnRegister)),
-      Admission(Shared.Time), Demand(Shared.Time) {}
+      Rates(Rates), Idempotency(Idempotency), Log(Log),
+      OnRegister(std::move(OnRegister)), Admission(Shared.Time),
+      Demand(Shared.Time) {}
 
 http::Response EntryService::handle(http::Request Received,
                                     const http::CallerConnection &Connection) {
@@ -55,6 +60,8 @@
   http::Response Answer = process(std::move(Received), Connection);
   Shared.Metrics.histogram("request_seconds")
       .record(Shared.Time.now() - Started);
+  // Callers move to another daemon before this one stops.
+  Answer.CloseConnection = Draining;
   return Answer;
 }
 
@@ -149,6 +156,8 @@
                 config::digestKey(Presented.Keys.front()))
           : nullptr;
   if (Workspace != nullptr) {
+    if (!mayServeIsolated(*Workspace))
+      return base::ErrorKind::KeyUnverified;
     Scope.Workspace = Workspace->Name;
     return std::nullopt;
   }
@@ -158,6 +167,14 @@
                                 : base::ErrorKind::KeyUnknown;
 }
 
+/// A daemon without the log can't learn that a key was revoked; the service
+/// file chooses whether its workspace is then served.
+bool EntryService::mayServeIsolated(
+    const config::WorkspaceConfig &Workspace) const {
+  return Workspace.Isolated == config::IsolatedBehaviour::Serve ||
+         Shared.Time.now() - Log.lastContact() < kIsolationTime;
+}
+
 std::optional<base::ErrorKind>
 EntryService::admit(Admitted &Request, const http::Request &Received) {
   OutgoingCall &Call = Request.Call;
@@ -197,10 +214,13 @@
 EntryService::run(Admitted &Request, const http::CallerConnection &Connection) {
   if (!Request.Inner) {
     retry::RetryAllowance Allowance(Request.Config->fleet().RetryAllowance);
-    return responseOf(Calls.call(Request.Call, Allowance, Connection));
+    const CallResult Result = Calls.call(Request.Call, Allowance, Connection);
+    learnLevel(Request, Result);
+    return responseOf(Result);
   }
   retry::RetryAllowance Allowance(Request.Inner->Grant.units());
   const CallResult Result = Calls.call(Request.Call, Allowance, Connection);
+  learnLevel(Request, Result);
   endInner(Request, Allowance.close());
   return responseOf(Result);
 }
@@ -265,14 +285,26 @@
   return Answer;
 }
 
-void EntryService::learnLevel(const overload::RouteKey &Route,
-                              const LoadReport &Report) {
+/// An entry daemon applies what it learns to new requests; a daemon in the
+/// middle also passes it on to its own callers.
+void EntryService::learnLevel(const Admitted &Request,
+                              const CallResult &Result) {
+  if (!Result.Report)
+    return;
+  const overload::RouteKey Route{Request.Call.Service, Request.Call.Route};
+  if (Request.Inner)
+    return Serving.learnLevel(Request.Inner->Parent, Route,
+                              Result.Report->Level);
   std::lock_guard Lock(Mutex);
-  Admission.learn(Route, Report.Level);
+  Admission.learn(Route, Result.Report->Level);
 }
 
 void EntryService::tick() {
+  const base::BootTime Now = Shared.Time.now();
   std::lock_guard Lock(Mutex);
+  if (Now < NextSlowTick)
+    return;
+  NextSlowTick = Now + kSlowTickInterval;
   Admission.removeStale();
 }
 
