--- a/tests/process/byterelay.cpp
+++ b/tests/process/byterelay.cpp
@@ -60,21 +60,21 @@
 ByteRelay::~ByteRelay() {
   Stopping = true;
   Acceptor.join();
-  for (std::thread &Each : LinkThreads)
-    Each.join();
+  std::unique_lock Lock(Mutex);
+  LinkEnded.wait(Lock, [this] { return Links.empty(); });
   close(Listener);
 }
 
 void ByteRelay::cut() {
   const std::lock_guard Lock(Mutex);
-  for (const auto &Each : Links)
-    Each->Cut = true;
+  for (Link &Each : Links)
+    Each.Cut = true;
 }
 
 void ByteRelay::silenceOpen() {
   const std::lock_guard Lock(Mutex);
-  for (const auto &Each : Links)
-    Each->Silent = true;
+  for (Link &Each : Links)
+    Each.Silent = true;
 }
 
 void ByteRelay::holdResponses(bool Hold) {
@@ -87,17 +87,20 @@
     pollfd Ready{Listener, POLLIN, 0};
     if (poll(&Ready, 1, kPollMilliseconds) <= 0)
       continue;
-    auto New = std::make_shared<Link>();
-    New->Caller = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (New->Caller < 0)
+    const int Caller = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (Caller < 0)
       continue;
     const std::lock_guard Lock(Mutex);
-    Links.push_back(New);
-    LinkThreads.emplace_back([this, New] { linkLoop(*New); });
+    const auto Place = Links.emplace(Links.end());
+    Place->Caller = Caller;
+    // There are too many connections over time to keep their threads for
+    // joining; the destructor waits for the links to end.
+    std::thread([this, Place] { linkLoop(Place); }).detach();
   }
 }
 
-void ByteRelay::linkLoop(Link &Current) {
+void ByteRelay::linkLoop(std::list<Link>::iterator Place) {
+  Link &Current = *Place;
   Current.Server = tcpSocket();
   const sockaddr_in Address = loopback(Target);
   if (connect(Current.Server, reinterpret_cast<const sockaddr *>(&Address),
@@ -106,6 +109,9 @@
     }
   close(Current.Server);
   close(Current.Caller);
+  const std::lock_guard Lock(Mutex);
+  Links.erase(Place);
+  LinkEnded.notify_all();
 }
 
 bool ByteRelay::passBytes(Link &Current) {
--- a/tests/process/byterelay.h
+++ b/tests/process/byterelay.h
@@ -2,11 +2,11 @@
 #define JACKDAW_TESTS_PROCESS_BYTERELAY_H
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
-#include <memory>
+#include <list>
 #include <mutex>
 #include <thread>
-#include <vector>
 
 namespace process {
 
@@ -44,7 +44,7 @@
   };
 
   void acceptLoop();
-  void linkLoop(Link &Current);
+  void linkLoop(std::list<Link>::iterator Place);
   bool passBytes(Link &Current);
 
   std::atomic<std::uint16_t> Target;
@@ -54,8 +54,8 @@
   std::atomic<bool> Holding = false;
   std::atomic<bool> Held = false;
   std::mutex Mutex;
-  std::vector<std::shared_ptr<Link>> Links;
-  std::vector<std::thread> LinkThreads;
+  std::condition_variable LinkEnded;
+  std::list<Link> Links;
   std::thread Acceptor;
 };
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -19,10 +19,12 @@
   Options.Timeout = kWaitLimit;
   const http::ExchangeResult Result = Client.exchange(Url, Request, Options);
   const std::vector<http::Header> &Headers = Result.Received.Headers;
-  return {Result.Status, Result.Received.Status,
+  return {Result.Status,
+          Result.Received.Status,
           http::findHeader(Headers, "jackdaw-outcome").value_or(""),
           http::findHeader(Headers, "jackdaw-error").value_or(""),
-          Result.Received.Body};
+          Result.Received.Body,
+          Result.Detail};
 }
 
 Answer send(const std::string &Url, const http::Request &Request) {
@@ -158,18 +160,23 @@
          "[[data_centre]]\nname = \"dc2\"\nregion = \"north\"\n";
 }
 
-std::string serviceFile(const std::map<std::string, std::string> &Keys) {
+std::string serviceFile(const std::map<std::string, std::string> &Keys,
+                        std::chrono::milliseconds ResponseTimeout) {
+  const std::string Timeout = "deadline_ms = 5000\nresponse_timeout_ms = " +
+                              std::to_string(ResponseTimeout.count()) + "\n";
   std::string Text = "[backend]\nslots = 4\nconnections = 50\n";
   for (const auto &[Workspace, Key] : Keys)
     Text += "[[workspace]]\nname = \"" + Workspace + "\"\nkey_digests = [\"" +
             config::digestKey(Key).str() +
             "\"]\nrate = 100000\nburst = 100000\n"
             "record_data_centre = \"dc1\"\n";
-  return Text + "[[route]]\nprefix = \"/orders\"\npriority = \"critical\"\n"
-                "non_idempotent = true\n"
-                "[[route]]\nprefix = \"/open\"\npriority = \"critical\"\n"
-                "non_idempotent = true\nopen_to_all = true\n"
-                "[[route]]\nprefix = \"/pages\"\nopen_to_all = true\n";
+  return Text +
+         "[[route]]\nprefix = \"/orders\"\npriority = \"critical\"\n"
+         "non_idempotent = true\n" +
+         Timeout +
+         "[[route]]\nprefix = \"/open\"\npriority = \"critical\"\n"
+         "non_idempotent = true\nopen_to_all = true\n" +
+         Timeout + "[[route]]\nprefix = \"/pages\"\nopen_to_all = true\n";
 }
 
 Fleet::Fleet() : Log("standin-log", {"--port", "0"}) { Log.port("port"); }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -20,6 +20,8 @@
   std::string Outcome;
   std::string Error;
   std::string Body;
+  /// Why no whole response arrived.
+  std::string Detail;
 
   bool whole() const { return Arrival == http::ExchangeStatus::Completed; }
 };
@@ -135,8 +137,10 @@
 /// A service with high limits and the routes `/orders` (not idempotent, with a
 /// key), `/open` (not idempotent, open to all) and `/pages` (idempotent, open
 /// to all). `Keys` are the workspaces with their keys.
-std::string serviceFile(const std::map<std::string, std::string> &Keys = {
-                            {"gold", kGoldKey}, {"tin", kTinKey}});
+std::string serviceFile(
+    const std::map<std::string, std::string> &Keys = {{"gold", kGoldKey},
+                                                      {"tin", kTinKey}},
+    std::chrono::milliseconds ResponseTimeout = std::chrono::seconds(5));
 
 /// The platform log with daemons and a publisher.
 class Fleet {
--- a/tests/process/processundertest.cpp
+++ b/tests/process/processundertest.cpp
@@ -121,19 +121,19 @@
 }
 
 std::uint16_t ProcessUnderTest::port(const std::string &Word) const {
-  const std::regex Pattern("(^|\n)ports? [^\n]*\\b" + Word +
-                           " ([0-9]+)[^\n]*\n|"
-                           "(^|\n)" +
-                           Word + " ([0-9]+)\n");
+  // The line with the ports is not written at once, so that log lines of other
+  // threads may stand in the middle of it.
+  const std::regex LogLine(
+      "[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]+ [A-Z]+ [^\n]*\n");
+  const std::regex Pattern("\\b" + Word + " ([0-9]+)[^\n]*\n");
   std::smatch Found;
   std::string Text;
   if (!waitUntil([&] {
-        Text = output();
+        Text = std::regex_replace(output(), LogLine, "");
         return std::regex_search(Text, Found, Pattern);
       }))
-    throw std::runtime_error("no port was told: " + Text);
-  const std::string Digits = Found[2].matched ? Found[2] : Found[4];
-  return static_cast<std::uint16_t>(std::stoul(Digits));
+    throw std::runtime_error("no port was told: " + output());
+  return static_cast<std::uint16_t>(std::stoul(Found[1]));
 }
 
 } // namespace process
