--- a/src/node/tests/servingservicetest.cpp
+++ b/src/node/tests/servingservicetest.cpp
@@ -84,7 +84,7 @@
     Message.Context.Service = base::ServiceName("orders");
     Message.Context.TimeLeftMicros = 15'000'000;
     Message.Request = {"POST", "/", "", {}, ""};
-    const execution::CallIdentity Copy = Identity;
+    execution::CallIdentity Copy = Identity;
     Serving.onCall(transport::ConnectionId(7), std::move(Message));
     return Copy;
   }
