--- /dev/null
+++ b/src/node/internal/backendcall.cpp
@@ -0,0 +1,72 @@
+#include "node/backendcall.h"
+
+#include "http/client.h"
+
+namespace node {
+
+namespace {
+
+constexpr std::uint16_t kServiceUnavailable = 503;
+
+/// Headers of the response that go back to the caller.
+std::vector<execution::Header>
+forwardableHeaders(const std::vector<http::Header> &Headers) {
+  std::vector<execution::Header> Result;
+  for (const http::Header &Each : Headers)
+    if (!http::isHopByHopHeader(Each.Name))
+      Result.push_back({Each.Name, Each.Value});
+  return Result;
+}
+
+execution::Response responseOf(const http::ExchangeResult &Result) {
+  using http::ExchangeStatus;
+  switch (Result.Status) {
+  case ExchangeStatus::Completed: {
+    execution::Response Answer;
+    Answer.What = base::Outcome::Ran;
+    Answer.Status = Result.Received.Status;
+    Answer.Headers = forwardableHeaders(Result.Received.Headers);
+    Answer.Body = Result.Received.Body;
+    return Answer;
+  }
+  case ExchangeStatus::NotSent:
+    return execution::errorResponse(base::ErrorKind::NoUpstream,
+                                    base::Outcome::NotRun);
+  case ExchangeStatus::TimedOut:
+    return execution::errorResponse(base::ErrorKind::DeadlineExceeded,
+                                    base::Outcome::Unknown);
+  case ExchangeStatus::Cancelled:
+    return execution::errorResponse(base::ErrorKind::Cancelled,
+                                    base::Outcome::Unknown);
+  case ExchangeStatus::Broken:
+    break;
+  }
+  return execution::errorResponse(base::ErrorKind::OutcomeUnknown,
+                                  base::Outcome::Unknown);
+}
+
+overload::CallEnd endOf(const http::ExchangeResult &Result) {
+  if (Result.Status == http::ExchangeStatus::Cancelled)
+    return overload::CallEnd::Cancelled;
+  const bool Refused = Result.Received.Status == kServiceUnavailable;
+  return Result.Status == http::ExchangeStatus::Completed && !Refused
+             ? overload::CallEnd::Responded
+             : overload::CallEnd::Failed;
+}
+
+} // namespace
+
+BackendResult callBackend(const BackendCall &Call) {
+  thread_local http::Client Client;
+  http::Request Sent = *Call.Request;
+  Sent.Headers.push_back({"Jackdaw-Handle", base::toHex(Call.Handle.Bytes)});
+  http::ExchangeOptions Options;
+  Options.Timeout = Call.TimeLeft;
+  Options.FreshConnection = !Call.Idempotent;
+  Options.Cancel = Call.Cancel;
+  const auto Result = Client.exchange(
+      "http://127.0.0.1:" + std::to_string(Call.Port), Sent, Options);
+  return {responseOf(Result), endOf(Result)};
+}
+
+} // namespace node
--- a/src/node/internal/servingservice.cpp
+++ b/src/node/internal/servingservice.cpp
@@ -1,7 +1,5 @@
 #include "node/servingservice.h"
 
-#include "http/client.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -24,52 +22,6 @@
              : base::ErrorKind::Overloaded;
 }
 
-/// Headers of the response that go back to the caller.
-std::vector<execution::Header>
-forwardableHeaders(const std::vector<http::Header> &Headers) {
-  std::vector<execution::Header> Result;
-  for (const http::Header &Each : Headers)
-    if (!http::isHopByHopHeader(Each.Name))
-      Result.push_back({Each.Name, Each.Value});
-  return Result;
-}
-
-execution::Response responseOf(const http::ExchangeResult &Result) {
-  using http::ExchangeStatus;
-  switch (Result.Status) {
-  case ExchangeStatus::Completed: {
-    execution::Response Answer;
-    Answer.What = base::Outcome::Ran;
-    Answer.Status = Result.Received.Status;
-    Answer.Headers = forwardableHeaders(Result.Received.Headers);
-    Answer.Body = Result.Received.Body;
-    return Answer;
-  }
-  case ExchangeStatus::NotSent:
-    return execution::errorResponse(base::ErrorKind::NoUpstream,
-                                    base::Outcome::NotRun);
-  case ExchangeStatus::TimedOut:
-    return execution::errorResponse(base::ErrorKind::DeadlineExceeded,
-                                    base::Outcome::Unknown);
-  case ExchangeStatus::Cancelled:
-    return execution::errorResponse(base::ErrorKind::Cancelled,
-                                    base::Outcome::Unknown);
-  case ExchangeStatus::Broken:
-    break;
-  }
-  return execution::errorResponse(base::ErrorKind::OutcomeUnknown,
-                                  base::Outcome::Unknown);
-}
-
-overload::CallEnd endOf(const http::ExchangeResult &Result) {
-  if (Result.Status == http::ExchangeStatus::Cancelled)
-    return overload::CallEnd::Cancelled;
-  const bool Refused = Result.Received.Status == 503;
-  return Result.Status == http::ExchangeStatus::Completed && !Refused
-             ? overload::CallEnd::Responded
-             : overload::CallEnd::Failed;
-}
-
 } // namespace
 
 ServingService::ServingService(Runtime &Shared)
@@ -291,11 +243,10 @@
       continue;
     Lock.unlock();
     const base::BootTime Started = Shared.Time.now();
-    overload::CallEnd End = overload::CallEnd::Cancelled;
-    execution::Response Answer = runAtBackend(*Next, End);
+    BackendResult Result = runAtBackend(*Next);
     const base::Duration Latency = Shared.Time.now() - Started;
     Lock.lock();
-    finish(*Next, std::move(Answer), End, Latency);
+    finish(*Next, std::move(Result.Answer), Result.End, Latency);
   }
 }
 
@@ -332,22 +283,17 @@
   return Next;
 }
 
-execution::Response ServingService::runAtBackend(const RunningCall &Running,
-                                                 overload::CallEnd &End) const {
-  thread_local http::Client Client;
+BackendResult ServingService::runAtBackend(const RunningCall &Running) const {
   const execution::CallContext &Context = Running.Call.Message.Context;
-  const base::BootTime Deadline =
-      execution::deadlineOf(Context, Running.Call.ArrivedAt);
-  http::Request Sent = Running.Call.Message.Request;
-  Sent.Headers.push_back({"Jackdaw-Handle", base::toHex(Running.Handle.Bytes)});
-  http::ExchangeOptions Options;
-  Options.Timeout = Deadline - Shared.Time.now();
-  Options.FreshConnection = !Context.Idempotent;
-  Options.Cancel = Running.Call.Cancel.get();
-  const auto Result = Client.exchange(
-      "http://127.0.0.1:" + std::to_string(Running.Target.Port), Sent, Options);
-  End = endOf(Result);
-  return responseOf(Result);
+  BackendCall Call;
+  Call.Port = Running.Target.Port;
+  Call.Request = &Running.Call.Message.Request;
+  Call.Handle = Running.Handle;
+  Call.TimeLeft = execution::deadlineOf(Context, Running.Call.ArrivedAt) -
+                  Shared.Time.now();
+  Call.Idempotent = Context.Idempotent;
+  Call.Cancel = Running.Call.Cancel.get();
+  return callBackend(Call);
 }
 
 void ServingService::finish(const RunningCall &Ended,
--- a/src/node/servingservice.h
+++ b/src/node/servingservice.h
@@ -4,6 +4,7 @@
 #include "config/configuration.h"
 #include "execution/executiontable.h"
 #include "execution/handletable.h"
+#include "node/backendcall.h"
 #include "node/messages.h"
 #include "node/runtime.h"
 #include "overload/adaptivelimit.h"
@@ -113,8 +114,7 @@
   void replaceQueue(std::uint32_t Slots);
   void workerLoop();
   std::optional<RunningCall> takeNext();
-  execution::Response runAtBackend(const RunningCall &Running,
-                                   overload::CallEnd &End) const;
+  BackendResult runAtBackend(const RunningCall &Running) const;
   void finish(const RunningCall &Running, execution::Response Answer,
               overload::CallEnd End, base::Duration Latency);
   void refuse(const base::RequestId &Id, base::ErrorKind Kind);
