Cut no request when a draining daemon closes its listening socket

Causes, in the order found: connections waiting in the accept queue are reset by the close; a connection made between the last accept and the close is reset too; a handshake that had begun when all packets were dropped never ended. Ruled out: the end of the drain, since handlers answer until the server is destroyed. One report was wrong: a connection attempt that timed out counted as possibly sent.

Change: new connections are ignored first, handshakes get 100 ms to end, what waits is accepted, then the socket is closed. The HTTP client tells a timed-out connection attempt from a timed-out exchange by what it has sent.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -121,13 +121,15 @@
     curl_easy_setopt(Handle, CURLOPT_NOPROGRESS, 0L);
   }
 
-  /// The timeout also ends an attempt to connect; then nothing was sent.
-  bool neverConnected() {
-    curl_off_t ConnectMicroseconds = 0;
-    curl_easy_getinfo(Handle, CURLINFO_CONNECT_TIME_T, &ConnectMicroseconds);
-    long Connections = 0;
-    curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Connections);
-    return Connections > 0 && ConnectMicroseconds == 0;
+  /// The timeout also ends an attempt to connect; then nothing was sent. The
+  /// number of connections says nothing about an attempt that failed.
+  bool nothingSent() {
+    curl_off_t TransferMicroseconds = 0;
+    curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T,
+                      &TransferMicroseconds);
+    long RequestBytes = 0;
+    curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &RequestBytes);
+    return TransferMicroseconds == 0 && RequestBytes == 0;
   }
 };
 
@@ -169,7 +171,7 @@
 
   ExchangeResult Result;
   Result.Status = classify(Code);
-  if (Result.Status == ExchangeStatus::TimedOut && Impl->neverConnected())
+  if (Result.Status == ExchangeStatus::TimedOut && Impl->nothingSent())
     Result.Status = ExchangeStatus::NotSent;
   if (Code != CURLE_OK)
     Result.Detail =
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -4,18 +4,24 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace http {
 
 namespace {
 
 constexpr unsigned kIdleTimeoutSeconds = 120;
+/// Covers the round trips of a handshake with a far client.
+constexpr std::chrono::milliseconds kHandshakeTime(100);
 constexpr std::size_t kThreadStackBytes = 256 << 10;
 
 class SocketConnection final : public CallerConnection {
@@ -55,6 +61,20 @@
   return Result;
 }
 
+/// Makes the system ignore attempts to open a connection to a listening socket;
+/// handshakes that have begun may end.
+void dropNewConnections(int Listening) {
+  constexpr std::uint32_t FlagsOffset = 13;
+  constexpr std::uint32_t SynFlag = 0x02;
+  std::array<sock_filter, 4> DropSyn{
+      {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+       BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, SynFlag, 0, 1),
+       BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, 0xffffffff)}};
+  const sock_fprog Program{DropSyn.size(), DropSyn.data()};
+  setsockopt(Listening, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+             sizeof(Program));
+}
+
 MHD_Result collectHeader(void *Target, MHD_ValueKind, const char *Name,
                          const char *Value) {
   auto &Headers = *static_cast<std::vector<Header> *>(Target);
@@ -188,7 +208,9 @@
   if (Listening < 0)
     return;
   // Closing the socket resets connections that the system has accepted already,
-  // so they are taken over first.
+  // so they are taken over first. Until the close no further ones may come.
+  dropNewConnections(Listening);
+  std::this_thread::sleep_for(kHandshakeTime);
   fcntl(Listening, F_SETFL, fcntl(Listening, F_GETFL) | O_NONBLOCK);
   for (;;) {
     sockaddr_in Address{};
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <thread>
 
 using namespace std::chrono_literals;
@@ -77,6 +81,45 @@
   CHECK(Result.Status == http::ExchangeStatus::NotSent);
 }
 
+TEST_CASE("a connection attempt that times out is known not to have sent "
+          "anything") {
+  // A listening socket whose queue is full leaves further attempts without an
+  // answer.
+  const int Listening = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof(Address);
+  auto *Raw = reinterpret_cast<sockaddr *>(&Address);
+  REQUIRE(bind(Listening, Raw, Length) == 0);
+  REQUIRE(listen(Listening, 0) == 0);
+  getsockname(Listening, Raw, &Length);
+  const int Filler = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(Filler, Raw, Length) == 0);
+
+  http::Client Client;
+  http::ExchangeOptions Options;
+  Options.ConnectTimeout = 200ms;
+  const std::string Url =
+      "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+  const auto Result = Client.exchange(Url, {"GET", "/", "", {}, ""}, Options);
+  CHECK(Result.Status == http::ExchangeStatus::NotSent);
+  close(Filler);
+  close(Listening);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a server that accepts and does not answer in time "
+                           "may have run the request") {
+  http::ExchangeOptions Options;
+  Options.Timeout = 200ms;
+  for (int Round = 0; Round < 2; ++Round) {
+    const auto Result =
+        Client.exchange(url(), {"GET", "/slow", "", {}, ""}, Options);
+    CHECK(Result.Status == http::ExchangeStatus::TimedOut);
+    Client.exchange(url(), {"GET", "/", "", {}, ""}, {});
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture, "the handler sees that a cancelled caller has "
                            "closed its connection") {
   std::atomic<bool> Cancel = false;
--- a/tests/process/stoptest.cpp
+++ b/tests/process/stoptest.cpp
@@ -66,6 +66,38 @@
   CHECK(Stopping.process().waitForExit() == 0);
 }
 
+// Guards against connections that the system has accepted for a stopping daemon
+// and that are reset when it closes its listening socket.
+TEST_CASE_FIXTURE(StopFleet, "a planned stop of the entry daemon cuts no "
+                             "request while new connections arrive") {
+  DaemonUnderTest &Stopping =
+      All.addDaemon({.Instance = "stopping", .Flags = {"--drain-ms", "300"}});
+  REQUIRE(Fleet::serves(Stopping, "/bookings/open"));
+  std::mutex Mutex;
+  std::vector<std::string> Cut;
+  std::vector<std::thread> Callers;
+  Callers.reserve(kCallers);
+  for (int Caller = 0; Caller < kCallers; ++Caller)
+    Callers.emplace_back([&] {
+      for (;;) {
+        const Answer Received =
+            send(Stopping.callerUrl(), {"POST", "/bookings/open", "", {}, ""});
+        if (Received.Arrival == http::ExchangeStatus::NotSent)
+          return;
+        if (Received.whole())
+          continue;
+        std::lock_guard Lock(Mutex);
+        Cut.push_back(Received.Detail);
+      }
+    });
+  Stopping.process().signal(SIGTERM);
+  for (std::thread &Each : Callers)
+    Each.join();
+  CHECK(Stopping.process().waitForExit() == 0);
+  CAPTURE(Cut.size());
+  CHECK((Cut.empty() ? "" : Cut.front()) == "");
+}
+
 // Guards against entry daemons that go on choosing a leaving backend server.
 TEST_CASE_FIXTURE(StopFleet, "a leaving backend server gets no new work after "
                              "3 s") {
