Read peer addresses in one place

The daemon's settings and the tools each had a parser for an IPv4 address and a port with the same rules; both now call base::parsePeerAddress.

--- /dev/null
+++ b/src/base/address.h
@@ -0,0 +1,21 @@
+#ifndef JACKDAW_BASE_ADDRESS_H
+#define JACKDAW_BASE_ADDRESS_H
+
+#include "base/types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace base {
+
+/// Whether the text is an IPv4 address.
+bool isIpAddress(const std::string &Text);
+
+/// Reads an IPv4 address and a port above 0, as in `10.0.0.7:7100`; nothing
+/// for any other text.
+std::optional<PeerAddress> parsePeerAddress(std::string_view Text);
+
+} // namespace base
+
+#endif // JACKDAW_BASE_ADDRESS_H
--- a/src/node/internal/daemonsettings.cpp
+++ b/src/node/internal/daemonsettings.cpp
@@ -1,9 +1,7 @@
 #include "node/daemonsettings.h"
 
-#include <arpa/inet.h>
+#include "base/address.h"
 
-#include <charconv>
-#include <optional>
 #include <sstream>
 
 namespace node {
@@ -33,29 +31,12 @@
   return {Name, SettingType::Text, "", "", 0, 0, Required, true, Help};
 }
 
-bool isIp(const std::string &Text) {
-  in_addr Ignored{};
-  return inet_pton(AF_INET, Text.c_str(), &Ignored) == 1;
-}
-
-std::optional<base::PeerAddress> parseAddress(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos || !isIp(Text.substr(0, Colon)))
-    return std::nullopt;
-  std::uint16_t Port = 0;
-  const char *End = Text.data() + Text.size();
-  const auto [Rest, Code] = std::from_chars(Text.data() + Colon + 1, End, Port);
-  if (Code != std::errc() || Rest != End || Port == 0)
-    return std::nullopt;
-  return base::PeerAddress{Text.substr(0, Colon), Port};
-}
-
 std::vector<base::PeerAddress> parseSeeds(const std::string &Text,
                                           std::vector<std::string> &Errors) {
   std::vector<base::PeerAddress> Seeds;
   std::istringstream Stream(Text);
   for (std::string Part; std::getline(Stream, Part, ',');) {
-    if (const auto Address = parseAddress(Part))
+    if (const auto Address = base::parsePeerAddress(Part))
       Seeds.push_back(*Address);
     else
       Errors.push_back("--seeds: '" + Part +
@@ -76,7 +57,7 @@
                             const std::string &Prefix,
                             std::vector<std::string> &Errors) {
   const std::string &Ip = Values.text(Prefix + "-ip");
-  if (!isIp(Ip))
+  if (!base::isIpAddress(Ip))
     Errors.push_back("--" + Prefix + "-ip: '" + Ip +
                      "' is not an IPv4 address");
   return {Ip, static_cast<std::uint16_t>(Values.number(Prefix + "-port"))};
--- a/src/tools/administration.h
+++ b/src/tools/administration.h
@@ -13,9 +13,6 @@
 /// Names of the pages of the administration API.
 const std::vector<std::string> &pageNames();
 
-/// An IPv4 address and port, as in `10.0.0.7:7200`; nothing if malformed.
-std::optional<base::PeerAddress> parseAddress(std::string_view Text);
-
 /// A comma-separated list of addresses. Adds one text to `Errors` for each
 /// malformed entry, and one if the list is empty.
 std::vector<base::PeerAddress> parseAddresses(const std::string &Text,
--- a/src/tools/ctlmain.cpp
+++ b/src/tools/ctlmain.cpp
@@ -1,3 +1,4 @@
+#include "base/address.h"
 #include "base/settings.h"
 #include "tools/administration.h"
 
@@ -23,7 +24,7 @@
   const base::Settings Values = base::readSettingsOrExit(
       kTable, "jackdaw-ctl: prints a page of a daemon's administration API",
       Count, Arguments);
-  const auto Daemon = tools::parseAddress(Values.text("administration"));
+  const auto Daemon = base::parsePeerAddress(Values.text("administration"));
   const std::string &Name = Values.text("page");
   const auto &Names = tools::pageNames();
   const bool Known = std::find(Names.begin(), Names.end(), Name) != Names.end();
--- a/src/tools/internal/administration.cpp
+++ b/src/tools/internal/administration.cpp
@@ -1,10 +1,8 @@
 #include "tools/administration.h"
 
+#include "base/address.h"
 #include "http/client.h"
 
-#include <arpa/inet.h>
-
-#include <charconv>
 #include <chrono>
 #include <sstream>
 
@@ -24,28 +22,12 @@
   return Names;
 }
 
-std::optional<base::PeerAddress> parseAddress(std::string_view Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::nullopt;
-  const std::string Ip(Text.substr(0, Colon));
-  in_addr Ignored{};
-  if (inet_pton(AF_INET, Ip.c_str(), &Ignored) != 1)
-    return std::nullopt;
-  std::uint16_t Port = 0;
-  const char *End = Text.data() + Text.size();
-  const auto [Rest, Code] = std::from_chars(Text.data() + Colon + 1, End, Port);
-  if (Code != std::errc() || Rest != End || Port == 0)
-    return std::nullopt;
-  return base::PeerAddress{Ip, Port};
-}
-
 std::vector<base::PeerAddress>
 parseAddresses(const std::string &Text, std::vector<std::string> &Errors) {
   std::vector<base::PeerAddress> Addresses;
   std::istringstream Stream(Text);
   for (std::string Part; std::getline(Stream, Part, ',');) {
-    if (const auto Address = parseAddress(Part))
+    if (const auto Address = base::parsePeerAddress(Part))
       Addresses.push_back(*Address);
     else
       Errors.push_back("--administration: '" + Part +
