Add an event loop with an asynchronous HTTP server and client

The thread-per-connection server and the blocking client need a thread for each open request. The new classes run on one loop: libmicrohttpd with suspended connections, libcurl's multi interface. The client hands a request to a connection at most once, so requests that must not be repeated may use kept connections.

--- /dev/null
+++ b/src/eventloop/tests/eventlooptest.cpp
@@ -0,0 +1,63 @@
+#include "eventloop/eventloop.h"
+
+#include <doctest/doctest.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::SystemClock Time;
+
+} // namespace
+
+// Guards against timers that run out of order or after they were cancelled.
+TEST_CASE("timers run in order and cancelled ones do not run") {
+  eventloop::EventLoop Loop(Time);
+  std::vector<int> Order;
+  Loop.after(20ms, [&] {
+    Order.push_back(2);
+    Loop.stop();
+  });
+  Loop.after(5ms, [&] { Order.push_back(1); });
+  const auto Cancelled = Loop.after(10ms, [&] { Order.push_back(9); });
+  Loop.cancel(Cancelled);
+  Loop.run();
+  CHECK(Order == std::vector<int>{1, 2});
+}
+
+// Guards against a lost wake-up when another thread hands work to the loop.
+TEST_CASE("a task posted by another thread runs at once") {
+  eventloop::EventLoop Loop(Time);
+  bool Ran = false;
+  std::thread Other([&] {
+    Loop.post([&] { Ran = true; });
+    Loop.stop();
+  });
+  Loop.run();
+  Other.join();
+  CHECK(Ran);
+}
+
+// Guards against an event of a closed descriptor that reaches the watch of
+// its successor with the same number.
+TEST_CASE("a watch replaced within a turn gets no event of the old one") {
+  eventloop::EventLoop Loop(Time);
+  std::array<int, 2> First{};
+  REQUIRE(pipe(First.data()) == 0);
+  int Stale = 0;
+  Loop.watch(First[0], EPOLLIN, [&](std::uint32_t) {
+    Loop.unwatch(First[0]);
+    Loop.watch(First[0], EPOLLERR, [&](std::uint32_t) { ++Stale; });
+    Loop.after(5ms, [&] { Loop.stop(); });
+  });
+  REQUIRE(write(First[1], "x", 1) == 1);
+  Loop.run();
+  CHECK(Stale == 0);
+  close(First[0]);
+  close(First[1]);
+}
--- /dev/null
+++ b/src/http/tests/asynctest.cpp
@@ -0,0 +1,244 @@
+#include "http/asyncclient.h"
+#include "http/asyncserver.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::SystemClock Time;
+
+/// Answers after a delay, or never.
+class DelayedHandler final : public http::AsyncHandler {
+public:
+  explicit DelayedHandler(eventloop::EventLoop &Loop) : Loop(Loop) {}
+
+  void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
+                 http::Request Received) override {
+    Requests.push_back(Received);
+    if (!Delay)
+      return;
+    Loop.after(*Delay, [&Server, Id, Body = Received.Path] {
+      Server.respond(Id, {200, {{"X-Test", "1"}}, Body});
+    });
+  }
+
+  void onAbandoned(http::ExchangeId) override {
+    ++Abandoned;
+    Loop.stop();
+  }
+
+  http::Response bodyTooLarge() const override { return {413, {}, ""}; }
+
+  eventloop::EventLoop &Loop;
+  std::optional<base::Duration> Delay = 1ms;
+  std::vector<http::Request> Requests;
+  int Abandoned = 0;
+};
+
+int dial(std::uint16_t Port) {
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+  REQUIRE(connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof(Address)) == 0);
+  return Socket;
+}
+
+void sendText(int Socket, const std::string &Text) {
+  REQUIRE(send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(Text.size()));
+}
+
+/// A server that speaks the given bytes on its connections, one after the
+/// other, each after it has read something.
+class ScriptedServer {
+public:
+  explicit ScriptedServer(std::vector<std::vector<std::string>> Script)
+      : Script(std::move(Script)),
+        Listening(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+    socklen_t Length = sizeof(Address);
+    REQUIRE(bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length) ==
+            0);
+    listen(Listening, 8);
+    getsockname(Listening, reinterpret_cast<sockaddr *>(&Address), &Length);
+    Url = "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+    Worker = std::thread([this] { serve(); });
+  }
+
+  ~ScriptedServer() {
+    shutdown(Listening, SHUT_RDWR);
+    Worker.join();
+    close(Listening);
+  }
+
+  std::string Url;
+  std::atomic<int> RequestsRead = 0;
+
+private:
+  void serve() {
+    for (const auto &Answers : Script) {
+      const int Socket = accept(Listening, nullptr, nullptr);
+      if (Socket < 0)
+        return;
+      for (const std::string &Answer : Answers) {
+        char Buffer[4096];
+        if (read(Socket, Buffer, sizeof(Buffer)) <= 0)
+          break;
+        ++RequestsRead;
+        (void)!write(Socket, Answer.data(), Answer.size());
+      }
+      close(Socket);
+    }
+  }
+
+  const std::vector<std::vector<std::string>> Script;
+  const int Listening;
+  std::thread Worker;
+};
+
+http::ExchangeResult exchange(eventloop::EventLoop &Loop,
+                              http::AsyncClient &Client,
+                              const std::string &Url) {
+  http::ExchangeResult Ended;
+  http::Request Sent;
+  Sent.Method = "GET";
+  Sent.Path = "/a//b%2f";
+  Client.start(Url, Sent, {}, [&](http::ExchangeResult Result) {
+    Ended = std::move(Result);
+    Loop.stop();
+  });
+  Loop.run();
+  return Ended;
+}
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against responses that leave out of order when requests are sent
+// behind one another on a connection.
+TEST_CASE("pipelined requests are answered in order") {
+  eventloop::EventLoop Loop(Time);
+  DelayedHandler Handler(Loop);
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  const int Socket = dial(Server->port());
+  sendText(Socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: "
+                   "a\r\n\r\n");
+  std::string Read;
+  std::thread Reader([&] {
+    char Buffer[4096];
+    while (Read.find("/2") == std::string::npos) {
+      const ssize_t Count = read(Socket, Buffer, sizeof(Buffer));
+      if (Count <= 0)
+        break;
+      Read.append(Buffer, static_cast<std::size_t>(Count));
+    }
+    Loop.stop();
+  });
+  Loop.run();
+  Reader.join();
+  CHECK(Read.find("/1") < Read.find("/2"));
+  CHECK(Read.find("/2") != std::string::npos);
+  close(Socket);
+}
+
+// Guards against work that goes on for a caller who has left.
+TEST_CASE("a caller who closes the connection is noticed while it waits") {
+  eventloop::EventLoop Loop(Time);
+  DelayedHandler Handler(Loop);
+  Handler.Delay.reset();
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  const int Socket = dial(Server->port());
+  sendText(Socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\n");
+  Loop.after(50ms, [Socket] { close(Socket); });
+  Loop.after(3s, [&] { Loop.stop(); });
+  Loop.run();
+  CHECK(Handler.Abandoned == 1);
+  CHECK(Server->openExchanges() == 0);
+}
+
+// Guards against a body over the limit that is read into memory.
+TEST_CASE("a body over the limit is refused") {
+  eventloop::EventLoop Loop(Time);
+  DelayedHandler Handler(Loop);
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  http::CallerLimits Limits;
+  Limits.MaxBodyBytes = 4;
+  Server->setLimits(Limits);
+  http::AsyncClient Client(Loop);
+  http::Request Sent{"POST", "/x", "", {}, "12345"};
+  std::uint16_t Status = 0;
+  Client.start("http://127.0.0.1:" + std::to_string(Server->port()), Sent, {},
+               [&](const http::ExchangeResult &Result) {
+                 Status = Result.Received.Status;
+                 Loop.stop();
+               });
+  Loop.run();
+  CHECK(Status == 413);
+  CHECK(Handler.Requests.empty());
+}
+
+TEST_CASE("the target and the body arrive unchanged") {
+  eventloop::EventLoop Loop(Time);
+  DelayedHandler Handler(Loop);
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  http::AsyncClient Client(Loop);
+  const auto Result = exchange(
+      Loop, Client, "http://127.0.0.1:" + std::to_string(Server->port()));
+  CHECK(Result.Status == http::ExchangeStatus::Completed);
+  CHECK(Handler.Requests.at(0).Path == "/a//b%2f");
+  CHECK(http::findHeader(Handler.Requests.at(0).Headers, "user-agent") ==
+        std::nullopt);
+}
+
+// Guards against a request that runs twice: libcurl repeats a request when a
+// kept connection is closed instead of answered.
+TEST_CASE("a request on a kept connection is never sent twice") {
+  ScriptedServer Server({{kWhole, ""}, {kWhole}});
+  eventloop::EventLoop Loop(Time);
+  http::AsyncClient Client(Loop);
+  CHECK(exchange(Loop, Client, Server.Url).Status ==
+        http::ExchangeStatus::Completed);
+  const auto Second = exchange(Loop, Client, Server.Url);
+  CHECK(Second.Status == http::ExchangeStatus::Broken);
+  CHECK(Server.RequestsRead == 2);
+}
+
+// Guards against a response that was cut and is passed on as whole.
+TEST_CASE("a response that ends early is broken") {
+  ScriptedServer Server(
+      {{"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"},
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel"},
+       {"no protocol at all\r\n\r\n"}});
+  eventloop::EventLoop Loop(Time);
+  http::AsyncClient Client(Loop);
+  for (int Round = 0; Round < 3; ++Round) {
+    CAPTURE(Round);
+    CHECK(exchange(Loop, Client, Server.Url).Status ==
+          http::ExchangeStatus::Broken);
+  }
+}
+
+TEST_CASE("a refused connection means that nothing was sent") {
+  eventloop::EventLoop Loop(Time);
+  http::AsyncClient Client(Loop);
+  CHECK(exchange(Loop, Client, "http://127.0.0.1:1").Status ==
+        http::ExchangeStatus::NotSent);
+}
