--- /dev/null
+++ b/src/config/fleetpolicy.h
@@ -0,0 +1,116 @@
+#ifndef JACKDAW_CONFIG_FLEETPOLICY_H
+#define JACKDAW_CONFIG_FLEETPOLICY_H
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "config/types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace config {
+
+/// Version of a fleet policy; it only grows.
+using PolicyVersion = base::StrongNumber<struct PolicyVersionTag>;
+
+/// One of the services among which a route's requests are divided.
+struct WeightedService {
+  base::ServiceName Service;
+  /// Share of the requests, relative to the other weights.
+  double Weight = 1;
+};
+
+/// Treatment of the requests to one host under one path prefix.
+struct HostRoute {
+  std::string Name;
+  std::string Host;
+  /// Begins and ends with a slash.
+  std::string Prefix;
+  std::vector<WeightedService> Targets;
+  /// The request may run more than once.
+  bool Idempotent = false;
+  /// Requests need no key.
+  bool OpenToAll = false;
+  /// 0 is the most urgent.
+  std::uint32_t Rank = 0;
+  /// Response time that callers are content with.
+  base::Duration Objective{};
+  /// Longest time to the final answer.
+  base::Duration Timeout{};
+  /// Backend servers that one request may be sent to.
+  std::uint32_t Attempts = 1;
+};
+
+/// One workspace over all services.
+struct WorkspacePolicy {
+  base::WorkspaceName Name;
+  std::vector<KeyDigest> KeyDigests;
+  /// Takes the place of the route's rank.
+  std::optional<std::uint32_t> Rank;
+  /// Requests per second over the whole fleet; 0 means no limit.
+  double Rate = 0;
+  double Burst = 0;
+};
+
+struct ServicePolicy {
+  base::ServiceName Name;
+  /// Connections that one backend server accepts.
+  std::uint32_t MaxConnections = 0;
+};
+
+/// What callers may send.
+struct CallerPolicy {
+  std::size_t MaxHeaderBytes = std::size_t{16} << 10;
+  std::size_t MaxBodyBytes = std::size_t{1} << 20;
+  base::Duration IdleTimeout = std::chrono::seconds(15);
+};
+
+struct FleetPolicyContent {
+  PolicyVersion Version;
+  std::vector<HostRoute> Routes;
+  std::vector<WorkspacePolicy> Workspaces;
+  std::vector<ServicePolicy> Services;
+  CallerPolicy Callers;
+};
+
+/// The routes, workspaces and limits of the whole fleet as of one version, with
+/// indexes for lookups. Immutable.
+class FleetPolicy {
+public:
+  explicit FleetPolicy(FleetPolicyContent Content);
+
+  const FleetPolicyContent &content() const { return Content; }
+  PolicyVersion version() const { return Content.Version; }
+
+  /// Whether callers need keys at all.
+  bool usesKeys() const { return !Content.Workspaces.empty(); }
+
+  /// The route of `Host` (a port is ignored, as is case) with the longest
+  /// prefix that begins `Path`, or null.
+  const HostRoute *route(std::string_view Host, std::string_view Path) const;
+
+  /// The workspace that holds the key with this digest, or null.
+  const WorkspacePolicy *workspaceByKey(const KeyDigest &Digest) const;
+
+private:
+  FleetPolicyContent Content;
+  /// Positions in `Content.Routes` by host and prefix.
+  std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
+      ByHost;
+  std::unordered_map<KeyDigest, std::size_t> ByKey;
+};
+
+using FleetPolicyPtr = std::shared_ptr<const FleetPolicy>;
+
+/// The class of a rank: 0 is critical, 1 normal, all others background.
+base::PriorityClass classOfRank(std::uint32_t Rank);
+
+} // namespace config
+
+#endif // JACKDAW_CONFIG_FLEETPOLICY_H
--- /dev/null
+++ b/src/config/internal/fleetpolicy.cpp
@@ -0,0 +1,62 @@
+#include "config/fleetpolicy.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace config {
+
+namespace {
+
+std::string hostKey(std::string_view Host) {
+  std::string Key(Host.substr(0, Host.find(':')));
+  std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Key;
+}
+
+} // namespace
+
+FleetPolicy::FleetPolicy(FleetPolicyContent New) : Content(std::move(New)) {
+  for (std::size_t Index = 0; Index < Content.Routes.size(); ++Index) {
+    const HostRoute &Each = Content.Routes[Index];
+    ByHost[hostKey(Each.Host)].emplace(Each.Prefix, Index);
+  }
+  for (std::size_t Index = 0; Index < Content.Workspaces.size(); ++Index)
+    for (const KeyDigest &Digest : Content.Workspaces[Index].KeyDigests)
+      ByKey.emplace(Digest, Index);
+}
+
+const HostRoute *FleetPolicy::route(std::string_view Host,
+                                    std::string_view Path) const {
+  const auto Found = ByHost.find(hostKey(Host));
+  if (Found == ByHost.end())
+    return nullptr;
+  // Prefixes end with a slash, so the candidates end at the path's slashes.
+  for (std::size_t Slash = Path.rfind('/'); Slash != std::string_view::npos;
+       Slash = Path.rfind('/', Slash - 1)) {
+    const auto Match =
+        Found->second.find(std::string(Path.substr(0, Slash + 1)));
+    if (Match != Found->second.end())
+      return &Content.Routes[Match->second];
+    if (Slash == 0)
+      break;
+  }
+  return nullptr;
+}
+
+const WorkspacePolicy *
+FleetPolicy::workspaceByKey(const KeyDigest &Digest) const {
+  const auto Found = ByKey.find(Digest);
+  return Found == ByKey.end() ? nullptr : &Content.Workspaces[Found->second];
+}
+
+base::PriorityClass classOfRank(std::uint32_t Rank) {
+  if (Rank == 0)
+    return base::PriorityClass::Critical;
+  return Rank == 1 ? base::PriorityClass::Normal
+                   : base::PriorityClass::Background;
+}
+
+} // namespace config
--- a/src/http/asyncclient.h
+++ b/src/http/asyncclient.h
@@ -20,6 +20,9 @@
   std::size_t MaxResponseBytes = std::size_t{64} << 20;
   /// A kept connection that has been idle for longer is not used again.
   base::Duration MaxIdle = std::chrono::seconds(4);
+  /// Asked once the headers are there; if it returns false, the connection is
+  /// closed after the response, since what it carries is out of step.
+  std::function<bool(const Response &Answer)> Acceptable;
   /// Opens a connection and closes it afterwards.
   bool FreshConnection = false;
 };
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -79,8 +79,7 @@
       const CURLcode Code = Message->data.result;
       curl_multi_remove_handle(Multi, Ended->Handle);
       auto Node = Transfers.extract(Ended->Id);
-      ExchangeResult Result =
-          takeResult(Ended->Handle, Code, Ended->Answer);
+      ExchangeResult Result = takeResult(Ended->Handle, Code, Ended->Answer);
       correct(*Ended, Result);
       Ended->Done(std::move(Result));
     }
@@ -125,9 +124,9 @@
     auto &Impl = *static_cast<State *>(Self);
     Impl.Loop.cancel(Impl.Timer);
     if (Milliseconds >= 0)
-      Impl.Timer = Impl.Loop.after(
-          std::chrono::milliseconds(Milliseconds),
-          [&Impl] { Impl.act(CURL_SOCKET_TIMEOUT, 0); });
+      Impl.Timer =
+          Impl.Loop.after(std::chrono::milliseconds(Milliseconds),
+                          [&Impl] { Impl.act(CURL_SOCKET_TIMEOUT, 0); });
     return 0;
   }
 
@@ -183,6 +182,8 @@
   if (!Sent.Query.empty())
     Current.Target += "?" + Sent.Query;
   Current.Answer.MaxBytes = Options.MaxResponseBytes;
+  Current.Answer.Acceptable = Options.Acceptable;
+  Current.Answer.Handle = Current.Handle;
   Current.Headers = makeHeaderList(Current.Sent);
   curl_easy_setopt(Current.Handle, CURLOPT_URL, BaseUrl.c_str());
   // The target goes out byte for byte as the caller sent it.
--- a/src/http/internal/asyncserver.cpp
+++ b/src/http/internal/asyncserver.cpp
@@ -80,8 +80,8 @@
   }
 
   static CallerSocket *socketOf(MHD_Connection *Connection) {
-    const MHD_ConnectionInfo *Info = MHD_get_connection_info(
-        Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    const MHD_ConnectionInfo *Info =
+        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
     return Info != nullptr ? static_cast<CallerSocket *>(Info->socket_context)
                            : nullptr;
   }
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -27,8 +27,12 @@
   if (Line.starts_with("HTTP/"))
     Current.Received.Headers.clear();
   const std::size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos)
+  if (Colon == std::string_view::npos) {
+    const bool End = Line == "\r\n" || Line == "\n";
+    if (End && Current.Acceptable && !Current.Acceptable(Current.Received))
+      curl_easy_setopt(Current.Handle, CURLOPT_FORBID_REUSE, 1L);
     return Line.size();
+  }
   std::string_view Value = Line.substr(Colon + 1);
   Value.remove_prefix(std::min(Value.find_first_not_of(" \t"), Value.size()));
   Value = Value.substr(0, Value.find_last_not_of(" \t\r\n") + 1);
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include <cstddef>
+#include <functional>
 
 namespace http {
 
@@ -18,6 +19,9 @@
   Response Received;
   std::size_t MaxBytes = 0;
   bool TooLarge = false;
+  /// Asked at the end of the headers; may be empty.
+  std::function<bool(const Response &)> Acceptable;
+  CURL *Handle = nullptr;
 };
 
 /// Makes libcurl collect the response in `Target`, which must outlive the
--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -46,6 +46,21 @@
   });
 }
 
+bool listNames(std::string_view List, std::string_view Name) {
+  while (!List.empty()) {
+    const std::size_t Comma = List.find(',');
+    std::string_view Word = List.substr(0, Comma);
+    Word.remove_prefix(std::min(Word.find_first_not_of(" \t"), Word.size()));
+    Word = Word.substr(0, Word.find_last_not_of(" \t") + 1);
+    if (sameHeaderName(Word, Name))
+      return true;
+    if (Comma == std::string_view::npos)
+      return false;
+    List.remove_prefix(Comma + 1);
+  }
+  return false;
+}
+
 std::optional<std::string> percentDecode(std::string_view Text) {
   std::string Result;
   for (std::size_t Index = 0; Index < Text.size(); ++Index) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -54,6 +54,10 @@
 /// (RFC 9110 section 7.6.1), or is set anew by each hop.
 bool isHopByHopHeader(std::string_view Name);
 
+/// Whether `List`, the comma-separated value of a header, names `Name`,
+/// ignoring case.
+bool listNames(std::string_view List, std::string_view Name);
+
 /// Decodes percent-encoding; nothing if an escape is malformed or decodes to a
 /// zero byte.
 std::optional<std::string> percentDecode(std::string_view Text);
--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -68,8 +68,7 @@
 class ScriptedServer {
 public:
   explicit ScriptedServer(std::vector<std::vector<std::string>> Script)
-      : Script(std::move(Script)),
-        Listening(socket(AF_INET, SOCK_STREAM, 0)) {
+      : Script(std::move(Script)), Listening(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
--- /dev/null
+++ b/src/relay/entry.h
@@ -0,0 +1,121 @@
+#ifndef JACKDAW_RELAY_ENTRY_H
+#define JACKDAW_RELAY_ENTRY_H
+
+#include "config/fleetpolicy.h"
+#include "eventloop/eventloop.h"
+#include "http/asyncserver.h"
+#include "relay/callsender.h"
+#include "relay/decisionlog.h"
+#include "relay/destinations.h"
+#include "relay/types.h"
+#include "retry/retrybudget.h"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace relay {
+
+/// Admits requests under fleet-wide limits.
+class RateGate {
+public:
+  virtual ~RateGate() = default;
+
+  /// Takes one request of the workspace; false if it is over its limit.
+  [[nodiscard]] virtual bool take(const config::WorkspacePolicy &Workspace) = 0;
+};
+
+struct EntrySettings {
+  HeaderNames Headers;
+  /// Service beside which this daemon runs.
+  base::ServiceName Service;
+  /// Retries at one service that all daemons together may cause in the window
+  /// of `retry::kBudgetWindow`, per hundred first attempts.
+  std::uint64_t RetryPercent = 10;
+};
+
+/// Takes requests from callers: finds the route and the workspace, applies the
+/// limits, sends the request to a serving daemon, tries another one where that
+/// is safe, and gives the final answer in time.
+class Entry final : public http::AsyncHandler {
+public:
+  Entry(EntrySettings Settings, eventloop::EventLoop &Loop,
+        base::MetricsRegistry &Metrics, DecisionLog &Log, CallSender &Calls,
+        Destinations &Choice, RateGate &Rates);
+
+  void adopt(config::FleetPolicyPtr New) { Policy = std::move(New); }
+  const config::FleetPolicyPtr &policy() const { return Policy; }
+
+  /// Responses close their connections from now on.
+  void startDraining() { Draining = true; }
+
+  /// Retries that this daemon may cause at a service without first attempts.
+  void setRetryFloor(std::uint64_t Floor) { RetryFloor = Floor; }
+
+  void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
+                 http::Request Received) override;
+  void onAbandoned(http::ExchangeId Id) override;
+  http::Response bodyTooLarge() const override;
+
+  std::size_t openRequests() const { return Requests.size(); }
+
+private:
+  struct OpenRequest {
+    http::AsyncServer *Server = nullptr;
+    http::ExchangeId Exchange;
+    CallFrame Message;
+    config::FleetPolicyPtr Policy;
+    const config::HostRoute *Route = nullptr;
+    std::string AttemptId;
+    base::BootTime ArrivedAt;
+    /// When the caller stops waiting.
+    base::BootTime CallerDeadline;
+    /// When the final answer is due.
+    base::BootTime Deadline;
+    eventloop::TimerId Timer;
+    std::optional<base::RequestId> Call;
+    routing::Choice Target;
+    std::vector<base::ProcessId> Tried;
+    /// Attempts that reached a backend server.
+    std::uint32_t Arrivals = 0;
+    base::Outcome Overall = base::Outcome::NotRun;
+    std::optional<base::ErrorKind> LastError;
+  };
+
+  std::optional<base::ErrorKind> identify(OpenRequest &Request);
+  void setDeadlines(OpenRequest &Request);
+  const base::ServiceName &pickService(const config::HostRoute &Route);
+  void prepareHeaders(OpenRequest &Request, const std::string &Key) const;
+  void attempt(OpenRequest &Request);
+  void onCallEnded(http::ExchangeId Id, const CallEnding &Ending);
+  bool mayTryAgain(OpenRequest &Request, const execution::CallVerdict &Verdict);
+  void answerWith(OpenRequest &Request, const execution::Response &Answer);
+  void onDeadline(http::ExchangeId Id);
+  void giveUp(OpenRequest &Request);
+  void refuse(OpenRequest &Request, base::ErrorKind Kind);
+  void respond(OpenRequest &Request, http::Response Answer);
+  http::Response refusal(const OpenRequest &Request, base::ErrorKind Kind,
+                         std::uint16_t Status);
+  void logRequest(const char *Event, const OpenRequest &Request,
+                  base::ErrorKind Kind, std::uint16_t Status) const;
+  retry::RetryBudget &budgetOf(const base::ServiceName &Service);
+
+  const EntrySettings Settings;
+  eventloop::EventLoop &Loop;
+  base::MetricsRegistry &Metrics;
+  DecisionLog &Log;
+  CallSender &Calls;
+  Destinations &Choice;
+  RateGate &Rates;
+  config::FleetPolicyPtr Policy;
+  std::unordered_map<http::ExchangeId, OpenRequest> Requests;
+  std::unordered_map<base::ServiceName, retry::RetryBudget> Budgets;
+  std::uint64_t RetryFloor = 1;
+  std::mt19937_64 Random;
+  bool Draining = false;
+};
+
+} // namespace relay
+
+#endif // JACKDAW_RELAY_ENTRY_H
--- /dev/null
+++ b/src/relay/internal/daemon.cpp
@@ -0,0 +1,307 @@
+#include "relay/daemon.h"
+
+#include "relay/callsender.h"
+#include "relay/destinations.h"
+#include "relay/directory.h"
+#include "relay/entry.h"
+#include "relay/internal/peerinbox.h"
+#include "relay/localloop.h"
+#include "relay/secretkeeper.h"
+#include "relay/serving.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Fine enough for fences, queue times and gossip; each tick costs a wake-up.
+constexpr base::Duration kTickInterval = 20ms;
+/// Pause before the start is tried again, as after a port that is in use.
+constexpr base::Duration kRestartPause = 500ms;
+/// Caller's way back before this daemon serves: soon, since a start takes well
+/// under a second if the store is there.
+constexpr const char *kNotStartedRetryAfter = "0.300";
+
+/// Admits everything.
+class OpenGate final : public RateGate {
+public:
+  bool take(const config::WorkspacePolicy &) override { return true; }
+};
+
+} // namespace
+
+struct Daemon::Parts final : http::AsyncHandler,
+                             PeerConsumer,
+                             platformlog::StreamListener {
+  Parts(DaemonSettings Settings, eventloop::EventLoop &Loop,
+        base::MetricsRegistry &Metrics, DecisionLog &Log,
+        platformlog::KeyedStore &Store, const PolicyReader &Reader)
+      : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
+        Store(Store), Reader(Reader), Inbox(Loop, *this),
+        Secret(Loop, Store, Log, this->Settings.Instance),
+        PolicyFollower({this->Settings.PolicyStream}, Loop, Store, *this) {}
+
+  ~Parts() override {
+    Loop.cancel(Ticker);
+    Remote.reset();
+  }
+
+  void join(const FleetSecret &Found);
+  void createServices(const base::ProcessId &Self);
+  void tick();
+  void adopt(const config::FleetPolicyContent &Content);
+
+  // http::AsyncHandler
+  void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
+                 http::Request Received) override;
+  void onAbandoned(http::ExchangeId Id) override {
+    if (Requests)
+      Requests->onAbandoned(Id);
+  }
+  http::Response bodyTooLarge() const override { return {413, {}, ""}; }
+
+  // PeerConsumer
+  void onFrame(transport::ConnectionId Connection, const base::ProcessId &Peer,
+               const transport::Frame &Received) override;
+  void onClosed(transport::ConnectionId Connection) override {
+    Calls->onConnectionClosed(Connection);
+  }
+  void onDatagram(const base::PeerAddress &From,
+                  const std::string &Body) override {
+    Members->onDatagram(From, Body);
+  }
+
+  // platformlog::StreamListener
+  void onRecord(const platformlog::KeyedRecord &Record) override;
+  void onCaughtUp(base::LogOffset End) override {
+    Members->setConfigurationOffset(End);
+  }
+  void onStoreState(bool Reachable, const std::string &Detail) override {
+    Log.state(Reachable ? "store_reachable" : "store_lost",
+              {{"stream", Settings.PolicyStream}, {"detail", Detail}});
+  }
+
+  const DaemonSettings Settings;
+  eventloop::EventLoop &Loop;
+  base::MetricsRegistry &Metrics;
+  DecisionLog &Log;
+  platformlog::KeyedStore &Store;
+  const PolicyReader &Reader;
+  PeerInbox Inbox;
+  SecretKeeper Secret;
+  platformlog::StreamFollower PolicyFollower;
+  http::AsyncServer *CallerServer = nullptr;
+  std::unique_ptr<transport::PeerTransport> Remote;
+  std::unique_ptr<LocalLoop> Peers;
+  std::unique_ptr<Directory> Members;
+  std::unique_ptr<Destinations> Choice;
+  std::unique_ptr<CallSender> Calls;
+  std::unique_ptr<Serving> Server;
+  OpenGate Rates;
+  std::unique_ptr<Entry> Requests;
+  eventloop::TimerId Ticker;
+  bool Draining = false;
+};
+
+void Daemon::Parts::join(const FleetSecret &Found) {
+  transport::TransportSettings Transport;
+  Transport.Self = {Settings.Instance, Found.Epoch};
+  Transport.Listen = Settings.Peer;
+  Transport.Secret = Found.Secret;
+  std::string Problem;
+  boost::leaf::try_handle_all(
+      [&]() -> base::Result<void> {
+        BOOST_LEAF_ASSIGN(Remote, transport::PeerTransport::start(
+                                      Transport, Loop.clock(), Metrics, Inbox));
+        return {};
+      },
+      [&](const base::Error &Failure) { Problem = Failure.Detail; },
+      [&] { Problem = "unknown failure"; });
+  if (!Remote) {
+    Log.state("join_failed", {{"detail", Problem}});
+    Loop.after(kRestartPause, [this, Found] { join(Found); });
+    return;
+  }
+  createServices(Transport.Self);
+  Inbox.open();
+  Members->start();
+  PolicyFollower.start();
+  tick();
+  Log.state("joined", {{"epoch", Found.Epoch.value()},
+                       {"peer", Remote->address().str()}});
+}
+
+void Daemon::Parts::createServices(const base::ProcessId &Self) {
+  const base::Clock &Time = Loop.clock();
+  Peers = std::make_unique<LocalLoop>(*Remote, Loop, Self, *this);
+  Choice = std::make_unique<Destinations>(
+      Time, routing::Topology{Settings.DataCentre, Settings.Region});
+  Calls = std::make_unique<CallSender>(Time, Self, *Peers);
+  Server = std::make_unique<Serving>(
+      ServingSettings{Self, Settings.Headers, Settings.ServerUrl}, Loop,
+      Metrics, Log, *Peers);
+  EntrySettings Front;
+  Front.Headers = Settings.Headers;
+  Front.Service = Settings.Service;
+  Front.RetryPercent = Settings.RetryPercent;
+  Requests = std::make_unique<Entry>(std::move(Front), Loop, Metrics, Log,
+                                     *Calls, *Choice, Rates);
+  membership::GossipSettings Gossip;
+  Gossip.Self.Instance = Settings.Instance;
+  Gossip.Self.Epoch = Self.Epoch;
+  Gossip.Self.DataCentre = Settings.DataCentre;
+  Gossip.Self.Region = Settings.Region;
+  Gossip.Self.Service = Settings.Service;
+  Gossip.Self.Peer = Remote->address();
+  Gossip.Self.Administration = Remote->address();
+  Gossip.RandomSeed = std::random_device()();
+  Members = std::make_unique<Directory>(
+      Gossip, Loop, Log, *Remote, Store,
+      [this](const membership::MemberTable &Table,
+             const std::vector<base::InstanceId> &Changed) {
+        Choice->follow(Table, Changed);
+      });
+}
+
+void Daemon::Parts::tick() {
+  Ticker = Loop.after(kTickInterval, [this] { tick(); });
+  Calls->tick();
+  Server->tick();
+  Members->tick();
+  PolicyFollower.expect(Members->highestConfigurationOffset());
+  Requests->setRetryFloor(Settings.RetryFloor / Members->announcedCount());
+}
+
+void Daemon::Parts::onRequest(http::AsyncServer &From, http::ExchangeId Id,
+                              http::Request Received) {
+  if (Requests)
+    return Requests->onRequest(From, Id, std::move(Received));
+  Metrics.counter("requests_before_start_total").add();
+  From.respond(Id, {base::answerFor(base::ErrorKind::NoUpstream).Status,
+                    {{"Retry-After", kNotStartedRetryAfter}},
+                    ""});
+}
+
+void Daemon::Parts::onFrame(transport::ConnectionId Connection,
+                            const base::ProcessId &,
+                            const transport::Frame &Received) {
+  const auto Malformed = [this] {
+    Metrics.counter("peer_messages_malformed_total").add();
+  };
+  switch (static_cast<FrameType>(Received.Type)) {
+  case FrameType::Call:
+    if (auto Message = base::decode<CallFrame>(Received.Body))
+      return Server->onCall(Connection, std::move(*Message));
+    return Malformed();
+  case FrameType::CallAnswer:
+    if (auto Message = base::decode<CallAnswerFrame>(Received.Body))
+      return Calls->onAnswer(std::move(*Message));
+    return Malformed();
+  case FrameType::Fence:
+    if (const auto Message = base::decode<execution::Fence>(Received.Body))
+      return Server->onFence(Connection, *Message);
+    return Malformed();
+  case FrameType::FenceReply:
+    if (const auto Message = base::decode<execution::FenceReply>(Received.Body))
+      return Calls->onFenceReply(*Message);
+    return Malformed();
+  case FrameType::Demand:
+    break;
+  }
+  Metrics.counter("peer_messages_unknown_total").add();
+}
+
+void Daemon::Parts::onRecord(const platformlog::KeyedRecord &Record) {
+  if (Record.Key != Settings.PolicyKey || !Record.Value)
+    return;
+  std::string Problem;
+  boost::leaf::try_handle_all(
+      [&]() -> base::Result<void> {
+        BOOST_LEAF_AUTO(Content, Reader.read(*Record.Value));
+        adopt(Content);
+        return {};
+      },
+      [&](const base::Error &Failure) { Problem = Failure.Detail; },
+      [&] { Problem = "unknown failure"; });
+  if (!Problem.empty())
+    Log.state("policy_rejected",
+              {{"offset", Record.Offset.value()}, {"detail", Problem}});
+}
+
+/// Puts a policy in force unless a newer one is.
+void Daemon::Parts::adopt(const config::FleetPolicyContent &Content) {
+  const config::FleetPolicyPtr &Current = Requests->policy();
+  if (Current && Content.Version <= Current->version())
+    return;
+  const auto New = std::make_shared<const config::FleetPolicy>(Content);
+  Requests->adopt(New);
+  http::CallerLimits Limits;
+  Limits.MaxBodyBytes = Content.Callers.MaxBodyBytes;
+  Limits.IdleTimeout = Content.Callers.IdleTimeout;
+  if (CallerServer != nullptr)
+    CallerServer->setLimits(Limits);
+  Log.state("policy_adopted", {{"version", Content.Version.value()},
+                               {"routes", Content.Routes.size()},
+                               {"workspaces", Content.Workspaces.size()}});
+}
+
+Daemon::Daemon(DaemonSettings Settings, eventloop::EventLoop &Loop,
+               base::MetricsRegistry &Metrics, DecisionLog &Log,
+               platformlog::KeyedStore &Store, const PolicyReader &Reader)
+    : Impl(std::make_unique<Parts>(std::move(Settings), Loop, Metrics, Log,
+                                   Store, Reader)) {}
+
+Daemon::~Daemon() = default;
+
+void Daemon::start() {
+  Impl->Secret.find(
+      [Raw = Impl.get()](const FleetSecret &Found) { Raw->join(Found); });
+}
+
+http::AsyncHandler &Daemon::callers() { return *Impl; }
+
+void Daemon::setCallerServer(http::AsyncServer &Server) {
+  Impl->CallerServer = &Server;
+}
+
+bool Daemon::report(const ServerReport &Received) {
+  if (!Impl->Server)
+    return false;
+  Impl->Server->report(Received);
+  return true;
+}
+
+bool Daemon::leave(const std::string &Id) {
+  if (!Impl->Server)
+    return false;
+  Impl->Server->leave(Id);
+  return true;
+}
+
+bool Daemon::ready() const {
+  return !Impl->Draining && Impl->Requests && Impl->Requests->policy();
+}
+
+void Daemon::drain() {
+  Impl->Draining = true;
+  if (!Impl->Requests)
+    return;
+  Impl->Requests->startDraining();
+  Impl->Server->startDraining();
+  Impl->Members->leave();
+}
+
+std::size_t Daemon::openWork() const {
+  if (!Impl->Requests)
+    return 0;
+  return Impl->Requests->openRequests() + Impl->Server->openCalls();
+}
+
+} // namespace relay
--- /dev/null
+++ b/src/relay/internal/destinations.cpp
@@ -0,0 +1,85 @@
+#include "relay/destinations.h"
+
+#include <random>
+#include <utility>
+
+namespace relay {
+
+namespace {
+
+/// Bytes a second that one daemon may exchange with another region; far above
+/// what its link carries, since the cost of distance is met by preferring near
+/// upstreams.
+constexpr std::uint64_t kRegionBytesPerSecond = std::uint64_t{500} << 20;
+
+routing::CallResult resultOfError(base::ErrorKind Kind, base::Outcome What) {
+  using base::ErrorKind;
+  using routing::CallResult;
+  switch (Kind) {
+  case ErrorKind::Overloaded:
+    return CallResult::Overloaded;
+  case ErrorKind::Draining:
+    return CallResult::Draining;
+  case ErrorKind::Cancelled:
+    return CallResult::Abandoned;
+  case ErrorKind::DeadlineExceeded:
+    // A call that expired in the queue met an overloaded upstream.
+    return What == base::Outcome::NotRun ? CallResult::Overloaded
+                                         : CallResult::Failed;
+  case ErrorKind::NoUpstream:
+    return CallResult::ConnectionFailed;
+  default:
+    return CallResult::Failed;
+  }
+}
+
+} // namespace
+
+routing::CallResult resultOf(const execution::CallVerdict &Verdict) {
+  if (Verdict.Error)
+    return resultOfError(*Verdict.Error, Verdict.What);
+  // A failure that the backend server reports may stem from a service further
+  // down, so it says nothing about this upstream.
+  return Verdict.Answer ? routing::CallResult::Answered
+                        : routing::CallResult::ConnectionFailed;
+}
+
+Destinations::Destinations(const base::Clock &Time, routing::Topology Place)
+    : Time(Time), Table(std::move(Place)),
+      Router(Table, Bytes, std::random_device()()) {}
+
+void Destinations::follow(const membership::MemberTable &Members,
+                          const std::vector<base::InstanceId> &Changed) {
+  const base::BootTime Now = Time.now();
+  Table.follow(Members, Changed, Now, Time.wallNow());
+  const base::RegionId &Own = Table.topology().Region;
+  for (const base::InstanceId &Instance : Changed) {
+    const membership::MemberEntry *Entry = Members.find(Instance);
+    if (Entry == nullptr || Entry->Record.Region == Own)
+      continue;
+    const base::RegionId &Other = Entry->Record.Region;
+    Bytes.configure(Own, Other, kRegionBytesPerSecond, 1, Now);
+    Bytes.configure(Other, Own, kRegionBytesPerSecond, 1, Now);
+  }
+}
+
+std::optional<routing::Choice>
+Destinations::choose(const base::ServiceName &Service,
+                     const routing::CallContext &Context) {
+  auto Chosen = Router.choose(Service, Context, Time.now());
+  if (!Chosen)
+    return std::nullopt;
+  return *Chosen;
+}
+
+void Destinations::finished(const routing::Choice &Target,
+                            const CallEnding &Ending) {
+  routing::CallReport Report;
+  Report.Result = resultOf(Ending.Verdict);
+  Report.Load = Ending.Load;
+  Report.ResponseBytes =
+      Ending.Verdict.Answer ? Ending.Verdict.Answer->size() : 0;
+  Router.finish(Target, Report, Time.now());
+}
+
+} // namespace relay
--- /dev/null
+++ b/src/relay/internal/directory.cpp
@@ -0,0 +1,136 @@
+#include "relay/directory.h"
+
+#include "base/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view kAnnouncementPrefix = "member/";
+/// Announcements are rare; gossip carries everything urgent.
+constexpr base::Duration kAnnouncementWait = 15s;
+constexpr base::Duration kFirstAnnouncePause = 100ms;
+constexpr base::Duration kLongestAnnouncePause = 2s;
+
+} // namespace
+
+std::string announcementKey(const base::InstanceId &Instance) {
+  return std::string(kAnnouncementPrefix) + Instance.str();
+}
+
+Directory::Directory(const membership::GossipSettings &Settings,
+                     eventloop::EventLoop &Loop, DecisionLog &Log,
+                     transport::PeerTransport &Peers,
+                     platformlog::KeyedStore &Store, ChangeListener OnChange)
+    : Loop(Loop), Log(Log), Peers(Peers), Store(Store),
+      OnChange(std::move(OnChange)), Gossip(Settings, Loop.clock().now()),
+      Follower({kFleetStream, kAnnouncementWait}, Loop, Store, *this),
+      AnnouncePause(kFirstAnnouncePause) {}
+
+void Directory::start() {
+  noteChanges();
+  announce();
+  Follower.start();
+}
+
+void Directory::announce() {
+  platformlog::KeyedRecord Record;
+  Record.Key = announcementKey(Gossip.self().Instance);
+  // A daemon that leaves keeps its record, so that the next process of the
+  // instance knows which epoch to exceed.
+  Record.Value = base::encode(Gossip.self());
+  const bool ForLeaving = Leaving;
+  Store.append(
+      kFleetStream, Record, std::nullopt,
+      [this, ForLeaving](const platformlog::StoreResult &Result) {
+        if (Result.Status == platformlog::StoreStatus::Done ||
+            ForLeaving != Leaving)
+          return;
+        Log.state("announcement_failed",
+                  {{"status", platformlog::storeStatusName(Result.Status)},
+                   {"detail", Result.Detail}});
+        Loop.after(AnnouncePause, [this] { announce(); });
+        AnnouncePause = std::min(AnnouncePause * 2, kLongestAnnouncePause);
+      });
+}
+
+void Directory::leave() {
+  Leaving = true;
+  send(Gossip.changeOwnState(membership::MemberState::Draining));
+  announce();
+}
+
+void Directory::onDatagram(const base::PeerAddress &From,
+                           const std::string &Body) {
+  if (const auto Message = membership::decode(Body))
+    send(Gossip.receive(*Message, From, Loop.clock().now()));
+}
+
+void Directory::tick() {
+  send(Gossip.tick(Loop.clock().now()));
+  noteChanges();
+}
+
+void Directory::noteChanges() {
+  const std::vector<base::InstanceId> Changed = Gossip.takeChanges();
+  if (Changed.empty())
+    return;
+  for (const base::InstanceId &Instance : Changed) {
+    const membership::MemberEntry *Entry = Gossip.members().find(Instance);
+    if (Entry == nullptr)
+      continue;
+    Log.state("member_changed",
+              {{"member", Instance.str()},
+               {"epoch", Entry->Record.Epoch.value()},
+               {"service", Entry->Record.Service.str()},
+               {"state", membership::memberStateName(Entry->Record.State)},
+               {"silent", Entry->Silent}});
+  }
+  OnChange(Gossip.members(), Changed);
+}
+
+void Directory::setConfigurationOffset(base::LogOffset Offset) {
+  send(Gossip.setAppliedOffset(Offset));
+}
+
+std::size_t Directory::announcedCount() const {
+  return std::max<std::size_t>(Announced.size(), 1);
+}
+
+void Directory::onRecord(const platformlog::KeyedRecord &Record) {
+  if (!Record.Key.starts_with(kAnnouncementPrefix))
+    return;
+  if (!Record.Value) {
+    Announced.erase(Record.Key);
+    return;
+  }
+  const auto Member = base::decode<membership::Member>(*Record.Value);
+  if (!Member || announcementKey(Member->Instance) != Record.Key) {
+    Log.state("announcement_ignored", {{"key", Record.Key}});
+    return;
+  }
+  if (Member->State == membership::MemberState::Alive)
+    Announced.insert(Record.Key);
+  else
+    Announced.erase(Record.Key);
+  Gossip.mergeAnnounced(*Member);
+}
+
+void Directory::onStoreState(bool Reachable, const std::string &Detail) {
+  Log.state(Reachable ? "store_reachable" : "store_lost",
+            {{"stream", kFleetStream}, {"detail", Detail}});
+}
+
+void Directory::send(const std::vector<membership::Outgoing> &Datagrams) {
+  for (const membership::Outgoing &Each : Datagrams)
+    Peers.sendDatagram(Each.To, membership::encode(Each.Message));
+}
+
+} // namespace relay
--- /dev/null
+++ b/src/relay/internal/secretkeeper.cpp
@@ -0,0 +1,96 @@
+#include "relay/secretkeeper.h"
+
+#include "base/codec.h"
+#include "base/ids.h"
+#include "membership/member.h"
+#include "relay/directory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::Duration kFirstPause = 50ms;
+constexpr base::Duration kLongestPause = 500ms;
+
+std::string makeSecret() {
+  std::string Text;
+  for (int Half = 0; Half < 2; ++Half) {
+    std::array<std::uint8_t, 16> Bytes{};
+    base::fillRandom(Bytes);
+    Text += base::toHex(Bytes);
+  }
+  return Text;
+}
+
+} // namespace
+
+SecretKeeper::SecretKeeper(eventloop::EventLoop &Loop,
+                           platformlog::KeyedStore &Store, DecisionLog &Log,
+                           base::InstanceId Instance)
+    : Loop(Loop), Store(Store), Log(Log), Instance(std::move(Instance)),
+      Pause(kFirstPause) {}
+
+void SecretKeeper::find(Callback New) {
+  Found = std::move(New);
+  read();
+}
+
+void SecretKeeper::read() {
+  Store.newest(kFleetStream, [this](const platformlog::StoreResult &Result) {
+    onNewest(Result);
+  });
+}
+
+void SecretKeeper::onNewest(const platformlog::StoreResult &Result) {
+  if (Result.Status != platformlog::StoreStatus::Done)
+    return retry("read", Result);
+  FleetSecret Known;
+  Known.Epoch = base::Incarnation(static_cast<std::uint64_t>(
+      Loop.clock().wallNow().time_since_epoch().count()));
+  for (const platformlog::KeyedRecord &Each : Result.Page.Records) {
+    if (!Each.Value)
+      continue;
+    if (Each.Key == kSecretKey)
+      Known.Secret = *Each.Value;
+    if (Each.Key != announcementKey(Instance))
+      continue;
+    if (const auto Earlier = base::decode<membership::Member>(*Each.Value))
+      Known.Epoch =
+          std::max(Known.Epoch, base::Incarnation(Earlier->Epoch.value() + 1));
+  }
+  if (Known.Secret.empty())
+    return create(Result.Page.End);
+  Found(Known);
+}
+
+void SecretKeeper::create(base::LogOffset End) {
+  Store.append(kFleetStream, {{}, kSecretKey, makeSecret()}, End,
+               [this](const platformlog::StoreResult &Result) {
+                 using platformlog::StoreStatus;
+                 // Whoever was first, the secret that counts is in the store.
+                 if (Result.Status == StoreStatus::Done ||
+                     Result.Status == StoreStatus::Conflict)
+                   return read();
+                 retry("create", Result);
+               });
+}
+
+void SecretKeeper::retry(const char *Step,
+                         const platformlog::StoreResult &Result) {
+  Log.state("secret_unavailable",
+            {{"step", Step},
+             {"status", platformlog::storeStatusName(Result.Status)},
+             {"detail", Result.Detail}});
+  Loop.after(Pause, [this] { read(); });
+  Pause = std::min(Pause * 2, kLongestPause);
+}
+
+} // namespace relay
--- a/src/retry/internal/retrybudget.cpp
+++ b/src/retry/internal/retrybudget.cpp
@@ -29,7 +29,7 @@
     if (Index != Oldest)
       FirstAttempts += Slots[Index].FirstAttempts;
   }
-  return Retries < kBudgetFloor + FirstAttempts * kBudgetPercent / 100;
+  return Retries < Settings.Floor + FirstAttempts * Settings.Percent / 100;
 }
 
 bool RetryBudget::take(base::BootTime Now) {
--- a/src/retry/retrybudget.h
+++ b/src/retry/retrybudget.h
@@ -18,11 +18,22 @@
 /// Further retries per hundred first attempts in the window.
 inline constexpr std::uint64_t kBudgetPercent = 10;
 
+/// How many retries a budget grants.
+struct RetryBudgetSettings {
+  std::uint64_t Floor = kBudgetFloor;
+  std::uint64_t Percent = kBudgetPercent;
+};
+
 /// Limits the retries of one (service, workspace) at one daemon. Within every
 /// stretch of time as long as the window, retries are at most
-/// `kBudgetPercent` of the first attempts plus `kBudgetFloor`.
+/// `Percent` of the first attempts plus `Floor`.
 class RetryBudget {
 public:
+  RetryBudget() = default;
+  explicit RetryBudget(RetryBudgetSettings Settings) : Settings(Settings) {}
+
+  void configure(RetryBudgetSettings New) { Settings = New; }
+
   void recordFirstAttempt(base::BootTime Now);
 
   /// Whether a retry fits now; takes nothing.
@@ -45,6 +56,8 @@
 
   Slot &currentSlot(base::BootTime Now);
 
+  RetryBudgetSettings Settings;
+
   /// One slot more than the window has. Retries count over all of them and
   /// first attempts without the oldest, so that rounding to slots never
   /// grants more than the exact window would.
