Hold workspaces' limits over the whole fleet

Half of each limit is divided into equal shares that need no message; the rest is handed out by one daemon per workspace, chosen by a rendezvous hash over the members. All parts are token buckets that start empty in a restarted process.

--- /dev/null
+++ b/src/ratelimit/internal/dividedlimit.cpp
@@ -0,0 +1,119 @@
+#include "ratelimit/dividedlimit.h"
+
+#include <algorithm>
+
+namespace ratelimit {
+
+namespace {
+
+/// Share of the tolerance that is used; the rest covers daemons that count
+/// differently for a moment while instances come and go, and permits that are
+/// used later than they were granted.
+constexpr double kUsedTolerance = 0.6;
+/// Part of a limit that is divided into equal shares. With half, most requests
+/// of a workspace within its rate need no permits if its demand is spread, and
+/// enough of them come from the keeper if all its demand is at few daemons.
+constexpr double kDividedShare = 0.5;
+/// A share with a burst below this would refuse single requests at random, so
+/// such a limit is not divided at all.
+constexpr double kLeastShareBurst = 1.5;
+
+} // namespace
+
+DividedLimits::DividedLimits(const base::Clock &Time, LimitTolerance Tolerance,
+                             bool Fresh)
+    : Time(Time), Tolerance(Tolerance), Fresh(Fresh), StartedAt(Time.now()) {}
+
+void DividedLimits::setDaemons(std::size_t Count) {
+  Daemons = std::max<std::size_t>(Count, 1);
+}
+
+RateAndBurst DividedLimits::tolerated(const RateAndBurst &Limit) const {
+  const double Factor = 1 + kUsedTolerance * Tolerance.Overage;
+  return {Limit.Rate * Factor,
+          Limit.Burst * Factor + kUsedTolerance * Tolerance.Slack};
+}
+
+double DividedLimits::dividedShare(const RateAndBurst &Whole) const {
+  const double Burst = kDividedShare * Whole.Burst / double(Daemons);
+  return Burst < kLeastShareBurst ? 0 : kDividedShare;
+}
+
+void DividedLimits::refill(Bucket &Filled, const RateAndBurst &Limit) const {
+  const base::BootTime Now = Time.now();
+  if (!Filled.Started) {
+    // A workspace that is new in a running fleet has used nothing either, but
+    // a restarted process can't tell it from others.
+    Filled.Tokens = Fresh ? Limit.Burst : 0;
+    Filled.Started = true;
+  } else {
+    const std::chrono::duration<double> Passed = Now - Filled.RefilledAt;
+    Filled.Tokens += Passed.count() * Limit.Rate;
+  }
+  Filled.Tokens = std::min(Filled.Tokens, Limit.Burst);
+  Filled.RefilledAt = Now;
+}
+
+TakeVerdict DividedLimits::take(const base::WorkspaceName &Workspace,
+                                const RateAndBurst &Limit) {
+  if (Limit.Rate <= 0)
+    return TakeVerdict::Admitted;
+  Usage &Known = Usages[Workspace];
+  if (Known.Permits > 0 && Time.now() < Known.PermitsLapseAt) {
+    --Known.Permits;
+    return TakeVerdict::Admitted;
+  }
+  const RateAndBurst Whole = tolerated(Limit);
+  const double Part = dividedShare(Whole) / double(Daemons);
+  refill(Known.Own, {Whole.Rate * Part, Whole.Burst * Part});
+  if (Known.Own.Tokens < 1)
+    return TakeVerdict::AskKeeper;
+  Known.Own.Tokens -= 1;
+  return TakeVerdict::Admitted;
+}
+
+void DividedLimits::addPermits(const base::WorkspaceName &Workspace,
+                               std::uint32_t Count) {
+  const base::BootTime Now = Time.now();
+  Usage &Known = Usages[Workspace];
+  if (Now >= Known.PermitsLapseAt)
+    Known.Permits = 0;
+  Known.Permits += Count;
+  Known.PermitsLapseAt = Now + kPermitLife;
+}
+
+std::uint32_t DividedLimits::grant(const base::WorkspaceName &Workspace,
+                                   const RateAndBurst &Limit,
+                                   std::uint32_t Wanted) {
+  Usage &Known = Usages[Workspace];
+  if (!Known.Keeper || Time.now() < Known.GrantsFrom)
+    return 0;
+  const RateAndBurst Whole = tolerated(Limit);
+  const double Part = 1 - dividedShare(Whole);
+  refill(Known.Pool, {Whole.Rate * Part, Whole.Burst * Part});
+  const auto Granted = static_cast<std::uint32_t>(
+      std::min(double(Wanted), std::max(0.0, Known.Pool.Tokens)));
+  Known.Pool.Tokens -= Granted;
+  return Granted;
+}
+
+void DividedLimits::setKeeper(const base::WorkspaceName &Workspace,
+                              bool Keeper) {
+  Usage &Known = Usages[Workspace];
+  if (Keeper == Known.Keeper)
+    return;
+  Known.Keeper = Keeper;
+  if (!Keeper)
+    return;
+  const base::BootTime Now = Time.now();
+  // Nobody kept the limit before a fleet that starts for the first time.
+  const bool First = Fresh && Now - StartedAt < kKeeperDelay;
+  Known.GrantsFrom = First ? Now : Now + kKeeperDelay;
+  if (First)
+    return;
+  Known.Pool.Started = true;
+  Known.Pool.Tokens = 0;
+  Known.Pool.RefilledAt = Known.GrantsFrom;
+}
+
+} // namespace ratelimit
--- a/src/relay/daemon.h
+++ b/src/relay/daemon.h
@@ -5,6 +5,7 @@
 #include "eventloop/eventloop.h"
 #include "http/asyncserver.h"
 #include "platformlog/keyedstore.h"
+#include "ratelimit/dividedlimit.h"
 #include "relay/decisionlog.h"
 #include "relay/localserver.h"
 #include "relay/types.h"
@@ -42,6 +43,8 @@
   /// without first attempts, and per hundred first attempts.
   std::uint64_t RetryFloor = 40;
   std::uint64_t RetryPercent = 10;
+  /// How far workspaces' limits may be exceeded.
+  ratelimit::LimitTolerance Tolerance;
   /// The whole fleet starts for the first time, so no earlier process has used
   /// up any limit.
   bool FirstStart = true;
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -7,6 +7,7 @@
 #include "relay/callsender.h"
 #include "relay/decisionlog.h"
 #include "relay/destinations.h"
+#include "relay/rategate.h"
 #include "relay/types.h"
 #include "retry/retrybudget.h"
 
@@ -17,15 +18,6 @@
 
 namespace relay {
 
-/// Admits requests under fleet-wide limits.
-class RateGate {
-public:
-  virtual ~RateGate() = default;
-
-  /// Takes one request of the workspace; false if it is over its limit.
-  [[nodiscard]] virtual bool take(const config::WorkspacePolicy &Workspace) = 0;
-};
-
 struct EntrySettings {
   HeaderNames Headers;
   /// Service beside which this daemon runs.
@@ -83,7 +75,15 @@
     std::optional<base::ErrorKind> LastError;
   };
 
-  std::optional<base::ErrorKind> identify(OpenRequest &Request);
+  /// What `identify` found.
+  struct Identity {
+    std::optional<base::ErrorKind> Refusal;
+    /// Null for callers without a workspace.
+    const config::WorkspacePolicy *Workspace = nullptr;
+  };
+
+  Identity identify(OpenRequest &Request);
+  void onGateVerdict(http::ExchangeId Id, GateVerdict Verdict);
   void setDeadlines(OpenRequest &Request);
   const base::ServiceName &pickService(const config::HostRoute &Route);
   void prepareHeaders(OpenRequest &Request, const std::string &Key) const;
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -6,6 +6,7 @@
 #include "relay/entry.h"
 #include "relay/internal/peerinbox.h"
 #include "relay/localloop.h"
+#include "relay/ratekeeper.h"
 #include "relay/secretkeeper.h"
 #include "relay/serving.h"
 
@@ -29,12 +30,6 @@
 /// under a second if the store is there.
 constexpr const char *kNotStartedRetryAfter = "0.300";
 
-/// Admits everything.
-class OpenGate final : public RateGate {
-public:
-  bool take(const config::WorkspacePolicy &) override { return true; }
-};
-
 } // namespace
 
 struct Daemon::Parts final : http::AsyncHandler,
@@ -104,7 +99,7 @@
   std::unique_ptr<Destinations> Choice;
   std::unique_ptr<CallSender> Calls;
   std::unique_ptr<Serving> Server;
-  OpenGate Rates;
+  std::unique_ptr<RateKeeper> Rates;
   std::unique_ptr<Entry> Requests;
   eventloop::TimerId Ticker;
   bool Draining = false;
@@ -147,12 +142,15 @@
   Server = std::make_unique<Serving>(
       ServingSettings{Self, Settings.Headers, Settings.ServerUrl}, Loop,
       Metrics, Log, *Peers);
+  Rates = std::make_unique<RateKeeper>(Loop, Metrics, Log, *Peers,
+                                       Settings.Instance, Settings.Tolerance,
+                                       Settings.FirstStart);
   EntrySettings Front;
   Front.Headers = Settings.Headers;
   Front.Service = Settings.Service;
   Front.RetryPercent = Settings.RetryPercent;
   Requests = std::make_unique<Entry>(std::move(Front), Loop, Metrics, Log,
-                                     *Calls, *Choice, Rates);
+                                     *Calls, *Choice, *Rates);
   membership::GossipSettings Gossip;
   Gossip.Self.Instance = Settings.Instance;
   Gossip.Self.Epoch = Self.Epoch;
@@ -167,6 +165,7 @@
       [this](const membership::MemberTable &Table,
              const std::vector<base::InstanceId> &Changed) {
         Choice->follow(Table, Changed);
+        Rates->follow(Table);
       });
 }
 
@@ -177,6 +176,7 @@
   Members->tick();
   PolicyFollower.expect(Members->highestConfigurationOffset());
   Requests->setRetryFloor(Settings.RetryFloor / Members->announcedCount());
+  Rates->setDaemons(Members->announcedCount());
 }
 
 void Daemon::Parts::onRequest(http::AsyncServer &From, http::ExchangeId Id,
@@ -212,8 +212,14 @@
     if (const auto Message = base::decode<execution::FenceReply>(Received.Body))
       return Calls->onFenceReply(*Message);
     return Malformed();
-  case FrameType::Demand:
-    break;
+  case FrameType::PermitRequest:
+    if (const auto Message = base::decode<PermitRequest>(Received.Body))
+      return Rates->onPermitRequest(Connection, *Message);
+    return Malformed();
+  case FrameType::PermitGrant:
+    if (const auto Message = base::decode<PermitGrant>(Received.Body))
+      return Rates->onPermitGrant(*Message);
+    return Malformed();
   }
   Metrics.counter("peer_messages_unknown_total").add();
 }
@@ -242,6 +248,7 @@
     return;
   const auto New = std::make_shared<const config::FleetPolicy>(Content);
   Requests->adopt(New);
+  Rates->adopt(New);
   http::CallerLimits Limits;
   Limits.MaxBodyBytes = Content.Callers.MaxBodyBytes;
   Limits.IdleTimeout = Content.Callers.IdleTimeout;
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -103,14 +103,31 @@
   if (Request.Route == nullptr || Request.Route->Targets.empty())
     return refuse(Request, base::ErrorKind::RouteUnknown);
   setDeadlines(Request);
-  if (const auto Kind = identify(Request))
-    return refuse(Request, *Kind);
+  const Identity Caller = identify(Request);
+  if (Caller.Refusal)
+    return refuse(Request, *Caller.Refusal);
   execution::CallContext &Context = Request.Message.Context;
   Context.Service = pickService(*Request.Route);
   Context.Idempotent = Request.Route->Idempotent;
   Request.Timer = Loop.after(Request.Deadline - Request.ArrivedAt,
                              [this, Id] { onDeadline(Id); });
-  budgetOf(Context.Service).recordFirstAttempt(Request.ArrivedAt);
+  if (Caller.Workspace == nullptr)
+    return onGateVerdict(Id, GateVerdict::Admitted);
+  Rates.admit(*Caller.Workspace,
+              [this, Id](GateVerdict Verdict) { onGateVerdict(Id, Verdict); });
+}
+
+void Entry::onGateVerdict(http::ExchangeId Id, GateVerdict Verdict) {
+  const auto Found = Requests.find(Id);
+  if (Found == Requests.end())
+    return;
+  OpenRequest &Request = Found->second;
+  if (Verdict == GateVerdict::RateExceeded)
+    return refuse(Request, base::ErrorKind::RateExceeded);
+  if (Verdict == GateVerdict::Unavailable)
+    return refuse(Request, base::ErrorKind::LimitUnavailable);
+  budgetOf(Request.Message.Context.Service)
+      .recordFirstAttempt(Request.ArrivedAt);
   attempt(Request);
 }
 
@@ -135,7 +152,7 @@
         std::min(Request.Deadline, Request.ArrivedAt + Request.Route->Timeout);
 }
 
-std::optional<base::ErrorKind> Entry::identify(OpenRequest &Request) {
+Entry::Identity Entry::identify(OpenRequest &Request) {
   const config::HostRoute &Route = *Request.Route;
   execution::RequestScope &Scope = Request.Message.Context.Scope;
   Scope.Priority = config::classOfRank(Route.Rank);
@@ -153,18 +170,17 @@
     if (Request.Message.Inner)
       Scope.Priority = base::PriorityClass::Critical;
     if (Route.OpenToAll || !Request.Policy->usesKeys())
-      return std::nullopt;
-    return Credentials ? base::ErrorKind::KeyUnknown
-                       : base::ErrorKind::KeyMissing;
+      return {};
+    return {Credentials ? base::ErrorKind::KeyUnknown
+                        : base::ErrorKind::KeyMissing,
+            nullptr};
   }
   Scope.Workspace = Workspace->Name;
   if (Workspace->Rank)
     Scope.Priority = config::classOfRank(*Workspace->Rank);
   Request.Message.Request.Headers.push_back(
       {Settings.Headers.Workspace, Workspace->Name.str()});
-  if (!Rates.take(*Workspace))
-    return base::ErrorKind::RateExceeded;
-  return std::nullopt;
+  return {std::nullopt, Workspace};
 }
 
 /// Removes what concerns one connection, what only this layer may say, and
--- /dev/null
+++ b/src/relay/internal/ratekeeper.cpp
@@ -0,0 +1,155 @@
+#include "relay/ratekeeper.h"
+
+#include "base/hash.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Covers a round trip between regions and a short stall of the keeper.
+constexpr base::Duration kPermitTimeout = 200ms;
+/// Permits beyond those that requests wait for, so that a busy workspace does
+/// not ask for each request.
+constexpr std::uint32_t kSparePermits = 1;
+
+std::uint64_t score(const base::WorkspaceName &Workspace,
+                    const base::InstanceId &Instance) {
+  return base::combineHashes(base::stableHash(Workspace.str()),
+                             base::stableHash(Instance.str()));
+}
+
+ratelimit::RateAndBurst limitOf(const config::WorkspacePolicy &Workspace) {
+  return {Workspace.Rate, Workspace.Burst};
+}
+
+} // namespace
+
+RateKeeper::RateKeeper(eventloop::EventLoop &Loop,
+                       base::MetricsRegistry &Metrics, DecisionLog &Log,
+                       transport::PeerTransport &Peers,
+                       const base::InstanceId &Self,
+                       ratelimit::LimitTolerance Tolerance, bool Fresh)
+    : Loop(Loop), Metrics(Metrics), Log(Log), Peers(Peers), Self(Self),
+      Limits(Loop.clock(), Tolerance, Fresh) {}
+
+void RateKeeper::adopt(config::FleetPolicyPtr New) {
+  Policy = std::move(New);
+  chooseKeepers();
+}
+
+void RateKeeper::follow(const membership::MemberTable &Members) {
+  Candidates.clear();
+  for (const membership::MemberEntry &Entry : Members.entries())
+    if (Entry.Record.State == membership::MemberState::Alive && !Entry.Silent)
+      Candidates.push_back({Entry.Record.Instance, Entry.Record.Peer});
+  chooseKeepers();
+}
+
+void RateKeeper::chooseKeepers() {
+  if (!Policy || Candidates.empty())
+    return;
+  for (const config::WorkspacePolicy &Each : Policy->content().Workspaces) {
+    const auto Best =
+        std::max_element(Candidates.begin(), Candidates.end(),
+                         [&](const Member &First, const Member &Second) {
+                           return score(Each.Name, First.Instance) <
+                                  score(Each.Name, Second.Instance);
+                         });
+    Member &Keeper = Keepers[Each.Name];
+    if (Keeper.Instance != Best->Instance)
+      Log.state("limit_keeper_changed", {{"workspace", Each.Name.str()},
+                                         {"from", Keeper.Instance.str()},
+                                         {"to", Best->Instance.str()}});
+    Keeper = *Best;
+    Limits.setKeeper(Each.Name, Best->Instance == Self);
+  }
+}
+
+const RateKeeper::Member *
+RateKeeper::keeperOf(const base::WorkspaceName &Workspace) const {
+  const auto Found = Keepers.find(Workspace);
+  return Found == Keepers.end() ? nullptr : &Found->second;
+}
+
+void RateKeeper::admit(const config::WorkspacePolicy &Workspace,
+                       Callback Done) {
+  if (Limits.take(Workspace.Name, limitOf(Workspace)) ==
+      ratelimit::TakeVerdict::Admitted)
+    return Done(GateVerdict::Admitted);
+  Asking &Current = Asks[Workspace.Name];
+  Current.Waiting.push_back(std::move(Done));
+  if (Current.Number == 0)
+    ask(Workspace.Name, Current);
+}
+
+void RateKeeper::ask(const base::WorkspaceName &Workspace, Asking &Current) {
+  Current.Number = ++LastNumber;
+  Current.Wanted =
+      static_cast<std::uint32_t>(Current.Waiting.size()) + kSparePermits;
+  ByNumber.emplace(Current.Number, Workspace);
+  Current.Timer =
+      Loop.after(kPermitTimeout, [this, Name = base::WorkspaceName(Workspace)] {
+        Metrics.counter("permit_timeouts_total").add();
+        settle(Name, 0, GateVerdict::Unavailable);
+      });
+  Metrics.counter("permit_requests_total").add();
+  const Member *Keeper = keeperOf(Workspace);
+  if (Keeper == nullptr)
+    return;
+  Peers.send(
+      Peers.connectionTo(Keeper->Peer),
+      makeFrame(FrameType::PermitRequest,
+                PermitRequest{Current.Number, Workspace, Current.Wanted}));
+}
+
+void RateKeeper::onPermitRequest(transport::ConnectionId From,
+                                 const PermitRequest &Request) {
+  PermitGrant Grant{Request.Number, 0};
+  if (Policy)
+    for (const config::WorkspacePolicy &Each : Policy->content().Workspaces)
+      if (Each.Name == Request.Workspace)
+        Grant.Granted = Limits.grant(Each.Name, limitOf(Each), Request.Wanted);
+  Peers.send(From, makeFrame(FrameType::PermitGrant, Grant));
+}
+
+void RateKeeper::onPermitGrant(const PermitGrant &Grant) {
+  const auto Found = ByNumber.find(Grant.Number);
+  if (Found == ByNumber.end())
+    return;
+  settle(base::WorkspaceName(Found->second), Grant.Granted,
+         GateVerdict::RateExceeded);
+}
+
+/// Admits as many waiting requests as there are permits. Those that came after
+/// the question was sent ask again, unless the keeper had too few.
+void RateKeeper::settle(const base::WorkspaceName &Workspace,
+                        std::uint32_t Granted, GateVerdict Otherwise) {
+  Asking &Current = Asks[Workspace];
+  Loop.cancel(Current.Timer);
+  ByNumber.erase(std::exchange(Current.Number, 0));
+  const bool Enough = Granted >= Current.Wanted;
+  std::vector<Callback> Waiting = std::exchange(Current.Waiting, {});
+  const std::size_t Admitted = std::min<std::size_t>(Granted, Waiting.size());
+  if (Granted > Admitted)
+    Limits.addPermits(Workspace,
+                      Granted - static_cast<std::uint32_t>(Admitted));
+  if (Enough && Waiting.size() > Admitted) {
+    Current.Waiting.assign(
+        std::make_move_iterator(Waiting.begin() +
+                                static_cast<std::ptrdiff_t>(Admitted)),
+        std::make_move_iterator(Waiting.end()));
+    Waiting.resize(Admitted);
+    ask(Workspace, Current);
+  }
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index)
+    Waiting[Index](Index < Admitted ? GateVerdict::Admitted : Otherwise);
+}
+
+} // namespace relay
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -20,7 +20,8 @@
   CallAnswer,
   Fence,
   FenceReply,
-  Demand,
+  PermitRequest,
+  PermitGrant,
 };
 
 /// A request on its way from the entry daemon to the serving daemon.
--- /dev/null
+++ b/src/relay/rategate.h
@@ -0,0 +1,34 @@
+#ifndef JACKDAW_RELAY_RATEGATE_H
+#define JACKDAW_RELAY_RATEGATE_H
+
+#include "config/fleetpolicy.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace relay {
+
+enum class GateVerdict : std::uint8_t {
+  Admitted,
+  /// The workspace is over its rate.
+  RateExceeded,
+  /// Nobody who could tell was reached in time.
+  Unavailable,
+};
+
+/// Admits requests under fleet-wide limits.
+class RateGate {
+public:
+  using Callback = std::function<void(GateVerdict)>;
+
+  virtual ~RateGate() = default;
+
+  /// Takes one request of the workspace. `Done` is called once, from within
+  /// this call or later.
+  virtual void admit(const config::WorkspacePolicy &Workspace,
+                     Callback Done) = 0;
+};
+
+} // namespace relay
+
+#endif // JACKDAW_RELAY_RATEGATE_H
--- /dev/null
+++ b/src/relay/ratekeeper.h
@@ -0,0 +1,94 @@
+#ifndef JACKDAW_RELAY_RATEKEEPER_H
+#define JACKDAW_RELAY_RATEKEEPER_H
+
+#include "config/fleetpolicy.h"
+#include "eventloop/eventloop.h"
+#include "membership/membertable.h"
+#include "ratelimit/dividedlimit.h"
+#include "relay/decisionlog.h"
+#include "relay/messages.h"
+#include "relay/rategate.h"
+#include "transport/peertransport.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace relay {
+
+/// Asks the keeper of a workspace's limit for permits.
+struct PermitRequest {
+  std::uint64_t Number = 0;
+  base::WorkspaceName Workspace;
+  std::uint32_t Wanted = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Number, Workspace, Wanted);
+  }
+};
+
+struct PermitGrant {
+  std::uint64_t Number = 0;
+  std::uint32_t Granted = 0;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Number, Granted); }
+};
+
+/// Holds the workspaces' limits over the whole fleet. Admits from this daemon's
+/// own share, and asks the keeper of the workspace's limit when that is used
+/// up; a rendezvous hash over the members chooses the keepers.
+class RateKeeper final : public RateGate {
+public:
+  RateKeeper(eventloop::EventLoop &Loop, base::MetricsRegistry &Metrics,
+             DecisionLog &Log, transport::PeerTransport &Peers,
+             const base::InstanceId &Self, ratelimit::LimitTolerance Tolerance,
+             bool Fresh);
+
+  void admit(const config::WorkspacePolicy &Workspace, Callback Done) override;
+
+  /// Takes over the limits of the policy in force.
+  void adopt(config::FleetPolicyPtr New);
+
+  /// Takes over the members that may be keepers, and the number of daemons.
+  void follow(const membership::MemberTable &Members);
+  void setDaemons(std::size_t Count) { Limits.setDaemons(Count); }
+
+  void onPermitRequest(transport::ConnectionId From,
+                       const PermitRequest &Request);
+  void onPermitGrant(const PermitGrant &Grant);
+
+private:
+  struct Member {
+    base::InstanceId Instance;
+    base::PeerAddress Peer;
+  };
+  /// Requests of one workspace that wait for permits.
+  struct Asking {
+    std::uint64_t Number = 0;
+    std::uint32_t Wanted = 0;
+    std::vector<Callback> Waiting;
+    eventloop::TimerId Timer;
+  };
+
+  void chooseKeepers();
+  const Member *keeperOf(const base::WorkspaceName &Workspace) const;
+  void ask(const base::WorkspaceName &Workspace, Asking &Current);
+  void settle(const base::WorkspaceName &Workspace, std::uint32_t Granted,
+              GateVerdict Otherwise);
+
+  eventloop::EventLoop &Loop;
+  base::MetricsRegistry &Metrics;
+  DecisionLog &Log;
+  transport::PeerTransport &Peers;
+  const base::InstanceId Self;
+  ratelimit::DividedLimits Limits;
+  config::FleetPolicyPtr Policy;
+  std::vector<Member> Candidates;
+  std::unordered_map<base::WorkspaceName, Member> Keepers;
+  std::unordered_map<base::WorkspaceName, Asking> Asks;
+  std::unordered_map<std::uint64_t, base::WorkspaceName> ByNumber;
+  std::uint64_t LastNumber = 0;
+};
+
+} // namespace relay
+
+#endif // JACKDAW_RELAY_RATEKEEPER_H
