Try another daemon after a refusal that did not reach a backend server

A refusal of a serving daemon carried a status, which the entry daemon took for a refusal by the backend server itself; so it counted as an attempt and the request was refused instead of moved. Whether the server was reached is a field of its own now.

--- a/src/execution/types.h
+++ b/src/execution/types.h
@@ -44,9 +44,11 @@
   std::string Body;
   /// Retries of the call's allowance that were not used.
   std::uint32_t UnusedAllowance = 0;
+  /// The request was passed to the backend server, which may have refused it.
+  bool ReachedServer = false;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(What, Error, Status, Headers, Body, UnusedAllowance);
+    Ar(What, Error, Status, Headers, Body, UnusedAllowance, ReachedServer);
   }
 
   /// Memory that the response takes, in bytes, and the same for its copies.
--- a/src/ratelimit/internal/dividedlimit.cpp
+++ b/src/ratelimit/internal/dividedlimit.cpp
@@ -9,11 +9,11 @@
 /// Share of the tolerance that is used; the rest covers daemons that count
 /// differently for a moment while instances come and go, and permits that are
 /// used later than they were granted.
-constexpr double kUsedTolerance = 0.6;
-/// Part of a limit that is divided into equal shares. With half, most requests
-/// of a workspace within its rate need no permits if its demand is spread, and
-/// enough of them come from the keeper if all its demand is at few daemons.
-constexpr double kDividedShare = 0.5;
+constexpr double kUsedTolerance = 0.85;
+/// Part of a limit that is divided into equal shares. The smaller it is, the
+/// less is lost in shares that are not used up while others are, and the more
+/// requests wait for a permit.
+constexpr double kDividedShare = 0.3;
 /// A share with a burst below this would refuse single requests at random, so
 /// such a limit is not divided at all.
 constexpr double kLeastShareBurst = 1.5;
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -263,8 +263,8 @@
   Choice.finished(Request.Target, Ending);
   Request.Call.reset();
   const execution::ResponsePtr &Answer = Verdict.Answer;
-  // A refusal with a status comes from the backend server itself.
-  if (Verdict.What != base::Outcome::NotRun || (Answer && Answer->Status != 0))
+  if (Verdict.What != base::Outcome::NotRun ||
+      (Answer && Answer->ReachedServer))
     ++Request.Arrivals;
   Request.Overall = execution::combineOutcomes(Request.Overall, Verdict.What);
   if (!Verdict.Error && Answer)
--- a/src/relay/internal/ratekeeper.cpp
+++ b/src/relay/internal/ratekeeper.cpp
@@ -68,6 +68,9 @@
                                          {"from", Keeper.Instance.str()},
                                          {"to", Best->Instance.str()}});
     Keeper = *Best;
+    // A connection that has to be made first would hold up the first requests.
+    if (Keeper.Instance != Self)
+      Peers.connectionTo(Keeper.Peer);
     Limits.setKeeper(Each.Name, Best->Instance == Self);
   }
 }
--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -302,8 +302,7 @@
         Failed(Received.Status == kMisdirected ? ErrorKind::NoUpstream
                                                : ErrorKind::Overloaded,
                Outcome::NotRun, "the backend server did not run it");
-    // Tells the entry daemon that the request did reach the server.
-    Answer.Status = Received.Status;
+    Answer.ReachedServer = true;
     return Answer;
   }
   if (isSuccess(Received.Status) &&
@@ -313,6 +312,7 @@
                   "the response is not the backend server's own");
   execution::Response Answer;
   Answer.What = Outcome::Ran;
+  Answer.ReachedServer = true;
   Answer.Status = Received.Status;
   Answer.Headers = forwardableHeaders(Received.Headers);
   Answer.Body = std::move(Result.Received.Body);
