--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -254,9 +254,14 @@
   Limits.IdleTimeout = Content.Callers.IdleTimeout;
   if (CallerServer != nullptr)
     CallerServer->setLimits(Limits);
+  auto Limited = nlohmann::ordered_json::object();
+  for (const config::WorkspacePolicy &Each : Content.Workspaces)
+    if (Each.Rate > 0)
+      Limited[Each.Name.str()] = {Each.Rate, Each.Burst};
   Log.state("policy_adopted", {{"version", Content.Version.value()},
                                {"routes", Content.Routes.size()},
-                               {"workspaces", Content.Workspaces.size()}});
+                               {"workspaces", Content.Workspaces.size()},
+                               {"limits", Limited}});
 }
 
 Daemon::Daemon(DaemonSettings Settings, eventloop::EventLoop &Loop,
