--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-const base::SystemClock Time;
+const base::SystemClock kTime;
 
 /// Answers after a delay, or never.
 class DelayedHandler final : public http::AsyncHandler {
@@ -134,7 +134,7 @@
 // Guards against responses that leave out of order when requests are sent
 // behind one another on a connection.
 TEST_CASE("pipelined requests are answered in order") {
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   DelayedHandler Handler(Loop);
   auto Server = http::AsyncServer::start({}, Loop, Handler).value();
   const int Socket = dial(Server->port());
@@ -160,7 +160,7 @@
 
 // Guards against work that goes on for a caller who has left.
 TEST_CASE("a caller who closes the connection is noticed while it waits") {
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   DelayedHandler Handler(Loop);
   Handler.Delay.reset();
   auto Server = http::AsyncServer::start({}, Loop, Handler).value();
@@ -175,7 +175,7 @@
 
 // Guards against a body over the limit that is read into memory.
 TEST_CASE("a body over the limit is refused") {
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   DelayedHandler Handler(Loop);
   auto Server = http::AsyncServer::start({}, Loop, Handler).value();
   http::CallerLimits Limits;
@@ -195,7 +195,7 @@
 }
 
 TEST_CASE("the target and the body arrive unchanged") {
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   DelayedHandler Handler(Loop);
   auto Server = http::AsyncServer::start({}, Loop, Handler).value();
   http::AsyncClient Client(Loop);
@@ -211,7 +211,7 @@
 // kept connection is closed instead of answered.
 TEST_CASE("a request on a kept connection is never sent twice") {
   ScriptedServer Server({{kWhole, ""}, {kWhole}});
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   http::AsyncClient Client(Loop);
   CHECK(exchange(Loop, Client, Server.Url).Status ==
         http::ExchangeStatus::Completed);
@@ -226,7 +226,7 @@
       {{"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"},
        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel"},
        {"no protocol at all\r\n\r\n"}});
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   http::AsyncClient Client(Loop);
   for (int Round = 0; Round < 3; ++Round) {
     CAPTURE(Round);
@@ -236,7 +236,7 @@
 }
 
 TEST_CASE("a refused connection means that nothing was sent") {
-  eventloop::EventLoop Loop(Time);
+  eventloop::EventLoop Loop(kTime);
   http::AsyncClient Client(Loop);
   CHECK(exchange(Loop, Client, "http://127.0.0.1:1").Status ==
         http::ExchangeStatus::NotSent);
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -45,6 +45,9 @@
   /// been seen, because another daemon has seen them.
   void expect(base::LogOffset Offset);
 
+  /// Changes the longest wait, from the next read on.
+  void setWait(base::Duration New) { Settings.Wait = New; }
+
   base::LogOffset position() const { return Position; }
 
 private:
@@ -56,7 +59,7 @@
   void retry(const StoreResult &Result, bool Newest);
   void setReachable(bool New, const std::string &Detail);
 
-  const FollowerSettings Settings;
+  FollowerSettings Settings;
   eventloop::EventLoop &Loop;
   KeyedStore &Store;
   StreamListener &Listener;
--- a/src/ratelimit/dividedlimit.h
+++ b/src/ratelimit/dividedlimit.h
@@ -10,9 +10,10 @@
 
 namespace ratelimit {
 
-/// How far limits may be exceeded in any stretch of time.
+/// How far limits may be exceeded in any window.
 struct LimitTolerance {
-  /// As a share of rate x time + burst.
+  base::Duration Window = std::chrono::seconds(5);
+  /// As a share of rate x window + burst.
   double Overage = 0;
   /// As a number of requests.
   double Slack = 0;
@@ -38,9 +39,9 @@
 /// which need no message and hold in every partition. The rest is handed out as
 /// permits by one daemon per workspace, the keeper, so that demand may gather
 /// at few daemons. Every part is a token bucket, and a process that starts
-/// later than the fleet starts with empty ones. So in any time t all daemons
-/// together admit at most rate x t + burst within the tolerance, as long as
-/// they agree on the number of daemons and on the keeper.
+/// later than the fleet starts with empty ones. So in any window all daemons
+/// together admit at most rate x window + burst within the tolerance, as long
+/// as they agree on the number of daemons and on the keeper.
 class DividedLimits {
 public:
   /// With `Fresh`, no earlier process can have used anything.
@@ -79,10 +80,14 @@
     base::BootTime GrantsFrom;
   };
 
-  /// Rate and burst that the fleet admits, with the tolerance.
+  /// Rate and burst that together make up what a window allows. The burst is
+  /// the limit's own; the tolerance goes to the rate, which serves demand that
+  /// lasts.
   RateAndBurst tolerated(const RateAndBurst &Limit) const;
-  /// Share of a limit that is divided among the daemons.
-  double dividedShare(const RateAndBurst &Whole) const;
+  /// The part of each daemon; its burst is a whole number.
+  RateAndBurst ownPart(const RateAndBurst &Whole) const;
+  /// What the daemons' parts leave to the keeper.
+  RateAndBurst pooledPart(const RateAndBurst &Whole) const;
   void refill(Bucket &Filled, const RateAndBurst &Limit) const;
 
   const base::Clock &Time;
@@ -96,8 +101,9 @@
 /// Life of a permit at the daemon that asked for it.
 inline constexpr base::Duration kPermitLife = std::chrono::milliseconds(300);
 
-/// Time in which news of a member reaches all daemons.
-inline constexpr base::Duration kKeeperDelay = std::chrono::seconds(2);
+/// Time in which most daemons hear of a new keeper. A keeper that stops knows
+/// of it at once, and one that was cut off has no majority.
+inline constexpr base::Duration kKeeperDelay = std::chrono::milliseconds(500);
 
 } // namespace ratelimit
 
--- a/src/ratelimit/internal/dividedlimit.cpp
+++ b/src/ratelimit/internal/dividedlimit.cpp
@@ -1,22 +1,23 @@
 #include "ratelimit/dividedlimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ratelimit {
 
 namespace {
 
-/// Share of the tolerance that is used; the rest covers daemons that count
-/// differently for a moment while instances come and go, and permits that are
-/// used later than they were granted.
-constexpr double kUsedTolerance = 0.85;
+/// Share of what a window allows that is used; the rest covers daemons that
+/// count differently for a moment while instances come and go, and permits that
+/// are used later than they were granted.
+constexpr double kUsedShare = 0.96;
 /// Part of a limit that is divided into equal shares. The smaller it is, the
 /// less is lost in shares that are not used up while others are, and the more
 /// requests wait for a permit.
 constexpr double kDividedShare = 0.3;
 /// A share with a burst below this would refuse single requests at random, so
 /// such a limit is not divided at all.
-constexpr double kLeastShareBurst = 1.5;
+constexpr double kLeastShareBurst = 2;
 
 } // namespace
 
@@ -29,14 +30,25 @@
 }
 
 RateAndBurst DividedLimits::tolerated(const RateAndBurst &Limit) const {
-  const double Factor = 1 + kUsedTolerance * Tolerance.Overage;
-  return {Limit.Rate * Factor,
-          Limit.Burst * Factor + kUsedTolerance * Tolerance.Slack};
+  const double Window = std::chrono::duration<double>(Tolerance.Window).count();
+  const double Allowance = kUsedShare * ((Limit.Rate * Window + Limit.Burst) *
+                                             (1 + Tolerance.Overage) +
+                                         Tolerance.Slack);
+  return {std::max(0.0, Allowance - Limit.Burst) / Window, Limit.Burst};
 }
 
-double DividedLimits::dividedShare(const RateAndBurst &Whole) const {
-  const double Burst = kDividedShare * Whole.Burst / double(Daemons);
-  return Burst < kLeastShareBurst ? 0 : kDividedShare;
+RateAndBurst DividedLimits::ownPart(const RateAndBurst &Whole) const {
+  const double Burst =
+      std::floor(kDividedShare * Whole.Burst / double(Daemons));
+  if (Burst < kLeastShareBurst)
+    return {};
+  return {kDividedShare * Whole.Rate / double(Daemons), Burst};
+}
+
+RateAndBurst DividedLimits::pooledPart(const RateAndBurst &Whole) const {
+  const RateAndBurst Own = ownPart(Whole);
+  return {Whole.Rate - Own.Rate * double(Daemons),
+          Whole.Burst - Own.Burst * double(Daemons)};
 }
 
 void DividedLimits::refill(Bucket &Filled, const RateAndBurst &Limit) const {
@@ -63,9 +75,7 @@
     --Known.Permits;
     return TakeVerdict::Admitted;
   }
-  const RateAndBurst Whole = tolerated(Limit);
-  const double Part = dividedShare(Whole) / double(Daemons);
-  refill(Known.Own, {Whole.Rate * Part, Whole.Burst * Part});
+  refill(Known.Own, ownPart(tolerated(Limit)));
   if (Known.Own.Tokens < 1)
     return TakeVerdict::AskKeeper;
   Known.Own.Tokens -= 1;
@@ -88,9 +98,7 @@
   Usage &Known = Usages[Workspace];
   if (!Known.Keeper || Time.now() < Known.GrantsFrom)
     return 0;
-  const RateAndBurst Whole = tolerated(Limit);
-  const double Part = 1 - dividedShare(Whole);
-  refill(Known.Pool, {Whole.Rate * Part, Whole.Burst * Part});
+  refill(Known.Pool, pooledPart(tolerated(Limit)));
   const auto Granted = static_cast<std::uint32_t>(
       std::min(double(Wanted), std::max(0.0, Known.Pool.Tokens)));
   Known.Pool.Tokens -= Granted;
--- a/src/ratelimit/tests/dividedlimittest.cpp
+++ b/src/ratelimit/tests/dividedlimittest.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 const base::WorkspaceName kWorkspace("w");
-const LimitTolerance kTolerance{0.1, 20};
+const LimitTolerance kTolerance{5s, 0.1, 20};
 
 /// A fleet in which each request enters at a chosen daemon.
 struct Fleet {
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -56,6 +56,9 @@
     return Gossip.members().highestOffset();
   }
 
+  /// Whether this daemon is the one that reads often in its data centre.
+  bool isReader() const;
+
   const membership::GossipProtocol &gossip() const { return Gossip; }
 
   /// Instances that are announced in the store, this one included; at least 1.
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -24,6 +24,11 @@
 
 /// Fine enough for fences, queue times and gossip; each tick costs a wake-up.
 constexpr base::Duration kTickInterval = 20ms;
+/// Longest wait of a read of the policy stream. One daemon in each data centre
+/// reads often, so that a connection that went silent delays news by little;
+/// the others hear of it by gossip then.
+constexpr base::Duration kReaderWait = 1200ms;
+constexpr base::Duration kOthersWait = 8s;
 /// Pause before the start is tried again, as after a port that is in use.
 constexpr base::Duration kRestartPause = 500ms;
 /// Caller's way back before this daemon serves: soon, since a start takes well
@@ -175,6 +180,7 @@
   Server->tick();
   Members->tick();
   PolicyFollower.expect(Members->highestConfigurationOffset());
+  PolicyFollower.setWait(Members->isReader() ? kReaderWait : kOthersWait);
   Requests->setRetryFloor(Settings.RetryFloor / Members->announcedCount());
   Rates->setDaemons(Members->announcedCount());
 }
--- a/src/relay/internal/directory.cpp
+++ b/src/relay/internal/directory.cpp
@@ -100,6 +100,11 @@
   send(Gossip.setAppliedOffset(Offset));
 }
 
+bool Directory::isReader() const {
+  const auto Readers = Gossip.logReaders(Gossip.self().DataCentre);
+  return Readers.empty() || Readers.front().Instance == Gossip.self().Instance;
+}
+
 std::size_t Directory::announcedCount() const {
   return std::max<std::size_t>(Announced.size(), 1);
 }
--- a/src/relay/internal/ratekeeper.cpp
+++ b/src/relay/internal/ratekeeper.cpp
@@ -52,9 +52,26 @@
   chooseKeepers();
 }
 
+void RateKeeper::setDaemons(std::size_t Count) {
+  if (Count == Announced)
+    return;
+  Announced = Count;
+  Limits.setDaemons(Count);
+  chooseKeepers();
+}
+
 void RateKeeper::chooseKeepers() {
-  if (!Policy || Candidates.empty())
+  if (!Policy)
+    return;
+  if (Candidates.size() * 2 <= Announced) {
+    for (const auto &[Workspace, Keeper] : Keepers)
+      Limits.setKeeper(Workspace, false);
+    if (!Keepers.empty())
+      Log.state("limit_keepers_lost",
+                {{"reachable", Candidates.size()}, {"announced", Announced}});
+    Keepers.clear();
     return;
+  }
   for (const config::WorkspacePolicy &Each : Policy->content().Workspaces) {
     const auto Best =
         std::max_element(Candidates.begin(), Candidates.end(),
--- a/src/relay/ratekeeper.h
+++ b/src/relay/ratekeeper.h
@@ -35,7 +35,8 @@
 
 /// Holds the workspaces' limits over the whole fleet. Admits from this daemon's
 /// own share, and asks the keeper of the workspace's limit when that is used
-/// up; a rendezvous hash over the members chooses the keepers.
+/// up; a rendezvous hash over the members chooses the keepers. Daemons that
+/// reach no majority of the fleet have no keeper, since the others have one.
 class RateKeeper final : public RateGate {
 public:
   RateKeeper(eventloop::EventLoop &Loop, base::MetricsRegistry &Metrics,
@@ -50,7 +51,7 @@
 
   /// Takes over the members that may be keepers, and the number of daemons.
   void follow(const membership::MemberTable &Members);
-  void setDaemons(std::size_t Count) { Limits.setDaemons(Count); }
+  void setDaemons(std::size_t Count);
 
   void onPermitRequest(transport::ConnectionId From,
                        const PermitRequest &Request);
@@ -83,6 +84,8 @@
   ratelimit::DividedLimits Limits;
   config::FleetPolicyPtr Policy;
   std::vector<Member> Candidates;
+  /// Daemons that are announced, whether reachable or not.
+  std::size_t Announced = 1;
   std::unordered_map<base::WorkspaceName, Member> Keepers;
   std::unordered_map<base::WorkspaceName, Asking> Asks;
   std::unordered_map<std::uint64_t, base::WorkspaceName> ByNumber;
--- a/src/relay/tests/fleet.cpp
+++ b/src/relay/tests/fleet.cpp
@@ -115,7 +115,7 @@
   Settings.ServerUrl = ServerUrl;
   Settings.Peer = {"127.0.0.1", 0};
   Settings.Headers = testHeaders();
-  Settings.Tolerance = {0, 5};
+  Settings.Tolerance = {5s, 0, 5};
   Settings.PolicyStream = kPolicyStream;
   Settings.PolicyKey = kPolicyKey;
   Created->Daemon = std::make_unique<relay::Daemon>(Settings, Loop, Metrics,
@@ -168,7 +168,7 @@
 
 http::TransferId
 RelayFleet::start(std::size_t At, const http::Request &Sent,
-                  std::function<void(http::ExchangeResult)> Done) {
+                  const std::function<void(http::ExchangeResult)> &Done) {
   return Client->start("http://127.0.0.1:" +
                            std::to_string(Nodes[At]->Callers->port()),
                        Sent, {}, [Done](http::ExchangeResult Result) {
--- a/src/relay/tests/fleet.h
+++ b/src/relay/tests/fleet.h
@@ -73,7 +73,7 @@
 
   /// The same without waiting; `Done` may be null.
   http::TransferId start(std::size_t At, const http::Request &Sent,
-                         std::function<void(http::ExchangeResult)> Done);
+                         const std::function<void(http::ExchangeResult)> &Done);
 
   void report(std::size_t At, std::uint64_t Sequence, bool Draining,
               std::uint32_t Slots = 8);
--- a/src/relay/tests/rawserver.cpp
+++ b/src/relay/tests/rawserver.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 RawServer::RawServer(Script New)
@@ -16,7 +17,8 @@
   Address.sin_family = AF_INET;
   inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
   socklen_t Length = sizeof(Address);
-  bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length);
+  if (bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length) != 0)
+    throw std::runtime_error("the scripted server can't listen");
   listen(Listening, 64);
   getsockname(Listening, reinterpret_cast<sockaddr *>(&Address), &Length);
   Port = ntohs(Address.sin_port);
