--- a/src/http/asyncserver.h
+++ b/src/http/asyncserver.h
@@ -28,9 +28,6 @@
 
   /// The caller has closed its connection; no response is needed any more.
   virtual void onAbandoned(ExchangeId Id) = 0;
-
-  /// Response to a request whose body exceeds the limit.
-  virtual Response bodyTooLarge() const = 0;
 };
 
 struct AsyncServerSettings {
@@ -38,18 +35,20 @@
   /// 0 lets the system choose a port.
   std::uint16_t Port = 0;
   unsigned MaxConnections = 1000;
-  /// Memory for the headers of a request and of its response, in bytes.
-  std::size_t ConnectionMemoryBytes = std::size_t{24} << 10;
 };
 
 /// Limits on what callers send; they may change while the server runs.
 struct CallerLimits {
+  std::size_t MaxHeaderBytes = std::size_t{16} << 10;
   std::size_t MaxBodyBytes = std::size_t{1} << 20;
   base::Duration IdleTimeout = std::chrono::seconds(120);
 };
 
-/// An HTTP/1.1 server over libmicrohttpd on an event loop. Requests of one
-/// connection are handled one after the other.
+/// An HTTP/1.1 server on an event loop. Requests that a caller sends behind one
+/// another are handed out as they arrive, and answered in their order; so each
+/// request's time runs from its arrival. (libmicrohttpd reads a request only
+/// after the one before has its response.) Malformed requests are answered
+/// with 400, and those over the limits with 413 or 431.
 class AsyncServer {
 public:
   /// Starts to listen; fails with `Internal` if the address can't be bound.
--- a/src/http/functionhandler.h
+++ b/src/http/functionhandler.h
@@ -20,7 +20,6 @@
     Server.respond(Id, Answer(Received));
   }
   void onAbandoned(ExchangeId) override {}
-  Response bodyTooLarge() const override { return {413, {}, ""}; }
 
 private:
   Function Answer;
--- a/src/http/internal/asyncserver.cpp
+++ b/src/http/internal/asyncserver.cpp
@@ -1,15 +1,15 @@
 #include "http/asyncserver.h"
 
-#include "http/internal/mhdsupport.h"
+#include "http/internal/callersocket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include <algorithm>
-#include <optional>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -17,29 +17,43 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 /// Unacknowledged data older than this closes a caller's connection, so that
 /// a peer without power is noticed.
 constexpr unsigned kUserTimeoutMilliseconds = 10'000;
-constexpr std::size_t kListenBacklog = 511;
-
-/// A request on its connection, from its first line to its response.
-struct Exchange {
-  ExchangeId Id;
-  MHD_Connection *Connection = nullptr;
-  Request Received;
-  std::optional<Response> Answer;
-  bool Started = false;
-  bool TooLarge = false;
-  bool Suspended = false;
-  bool Abandoned = false;
-};
+constexpr int kListenBacklog = 511;
+/// How often idle connections are looked for.
+constexpr base::Duration kSweepInterval = 1s;
 
-/// What belongs to a caller's connection.
-struct CallerSocket {
+struct Listener {
   int Descriptor = -1;
-  Exchange *Current = nullptr;
+  std::uint16_t Port = 0;
 };
 
+base::Result<Listener> listenAt(const AsyncServerSettings &Settings) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Settings.Port);
+  const std::string Where = Settings.Ip + ":" + std::to_string(Settings.Port);
+  if (inet_pton(AF_INET, Settings.Ip.c_str(), &Address.sin_addr) != 1)
+    return base::fail(base::ErrorKind::Internal,
+                      "not an IPv4 address: " + Settings.Ip);
+  const int Descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  setsockopt(Descriptor, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  socklen_t Length = sizeof(Address);
+  if (bind(Descriptor, reinterpret_cast<sockaddr *>(&Address), Length) != 0 ||
+      listen(Descriptor, kListenBacklog) != 0 ||
+      getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address),
+                  &Length) != 0) {
+    close(Descriptor);
+    return base::fail(base::ErrorKind::Internal, "can't listen on " + Where);
+  }
+  return Listener{Descriptor, ntohs(Address.sin_port)};
+}
+
 } // namespace
 
 struct AsyncServer::State {
@@ -52,237 +66,144 @@
   AsyncHandler &Answering;
   AsyncServer *Server = nullptr;
   CallerLimits Limits;
-  MHD_Daemon *Daemon = nullptr;
-  int DaemonEpoll = -1;
-  std::uint16_t Port = 0;
+  Listener Listening;
   std::uint64_t NextId = 1;
-  std::unordered_map<ExchangeId, Exchange *> Waiting;
-  eventloop::TimerId Timer;
-  bool RunScheduled = false;
-
-  /// Lets libmicrohttpd work; it must not be entered from its own callbacks.
-  void runSoon() {
-    if (std::exchange(RunScheduled, true))
-      return;
-    Loop.post([this] {
-      RunScheduled = false;
-      runNow();
-    });
-  }
-
-  void runNow() {
-    MHD_run(Daemon);
-    Loop.cancel(Timer);
-    MHD_UNSIGNED_LONG_LONG Left = 0;
-    if (MHD_get_timeout(Daemon, &Left) != MHD_YES)
-      return;
-    Timer = Loop.after(std::chrono::milliseconds(Left), [this] { runNow(); });
-  }
-
-  static CallerSocket *socketOf(MHD_Connection *Connection) {
-    const MHD_ConnectionInfo *Info =
-        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    return Info != nullptr ? static_cast<CallerSocket *>(Info->socket_context)
-                           : nullptr;
+  std::unordered_map<int, std::unique_ptr<CallerSocket>> Sockets;
+  std::unordered_map<ExchangeId, CallerSocket *> Waiting;
+  eventloop::TimerId Sweep;
+  /// Outlives the state in tasks that were posted.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+
+  void acceptAll() {
+    for (;;) {
+      const int Descriptor = accept4(Listening.Descriptor, nullptr, nullptr,
+                                     SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (Descriptor < 0)
+        return;
+      if (Sockets.size() >= Settings.MaxConnections) {
+        close(Descriptor);
+        continue;
+      }
+      const int On = 1;
+      setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+      setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &kUserTimeoutMilliseconds, sizeof(kUserTimeoutMilliseconds));
+      auto Socket =
+          std::make_unique<CallerSocket>(Descriptor, Loop.clock().now());
+      CallerSocket &Added = *Socket;
+      Sockets.emplace(Descriptor, std::move(Socket));
+      onReady(Added, EPOLLIN);
+    }
   }
 
-  void onConnected(MHD_Connection *Connection, void **Context) {
-    auto Socket = std::make_unique<CallerSocket>();
-    Socket->Descriptor =
-        MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd;
-    setsockopt(Socket->Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               &kUserTimeoutMilliseconds, sizeof(kUserTimeoutMilliseconds));
-    CallerSocket *Raw = Socket.release();
-    *Context = Raw;
-    Loop.watch(Raw->Descriptor, EPOLLRDHUP | EPOLLET,
-               [this, Raw](std::uint32_t Events) {
-                 if ((Events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
-                   onCallerGone(*Raw);
-               });
+  void watch(CallerSocket &Socket) {
+    std::uint32_t Events = EPOLLRDHUP;
+    if (Socket.wantsRead())
+      Events |= EPOLLIN;
+    if (Socket.wantsWrite())
+      Events |= EPOLLOUT;
+    Loop.watch(
+        Socket.descriptor(), Events,
+        [this, &Socket](std::uint32_t Ready) { onReady(Socket, Ready); });
   }
 
-  void onClosed(void **Context) {
-    std::unique_ptr<CallerSocket> Socket(static_cast<CallerSocket *>(*Context));
-    *Context = nullptr;
-    if (Socket)
-      Loop.unwatch(Socket->Descriptor);
+  void onReady(CallerSocket &Socket, std::uint32_t Ready) {
+    const base::BootTime Now = Loop.clock().now();
+    if ((Ready & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+      return drop(Socket);
+    if ((Ready & EPOLLIN) != 0) {
+      ReadOutcome Outcome = Socket.read(Limits, NextId, Now);
+      hand(Socket, std::move(Outcome.Requests));
+      if (Outcome.Gone)
+        return drop(Socket);
+    }
+    advance(Socket, Now);
   }
 
-  void onCallerGone(CallerSocket &Socket) {
-    Exchange *Current = Socket.Current;
-    if (Current == nullptr || !Current->Suspended || Current->Answer)
-      return;
-    Current->Abandoned = true;
-    Waiting.erase(Current->Id);
-    resume(*Current);
-    Answering.onAbandoned(Current->Id);
-  }
-
-  void resume(Exchange &Held) {
-    if (!std::exchange(Held.Suspended, false))
-      return;
-    MHD_resume_connection(Held.Connection);
-    runSoon();
+  /// Sends what is due and waits for what comes next.
+  void advance(CallerSocket &Socket, base::BootTime Now) {
+    if (!Socket.flush(Now))
+      return drop(Socket);
+    watch(Socket);
   }
 
-  MHD_Result begin(MHD_Connection *Connection, Exchange &Current,
-                   const char *Method) {
-    Current.Started = true;
-    Current.Connection = Connection;
-    Current.Received.Method = Method;
-    MHD_get_connection_values(Connection, MHD_HEADER_KIND, collectHeader,
-                              &Current.Received.Headers);
-    if (CallerSocket *Socket = socketOf(Connection))
-      Socket->Current = &Current;
-    const auto Idle =
-        std::chrono::ceil<std::chrono::seconds>(Limits.IdleTimeout);
-    MHD_set_connection_option(Connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                              static_cast<unsigned>(Idle.count() + 1));
-    const auto Length = findHeader(Current.Received.Headers, "content-length");
-    if (Length &&
-        std::strtoull(Length->c_str(), nullptr, 10) > Limits.MaxBodyBytes)
-      return queueResponse(Connection, Answering.bodyTooLarge(), true);
-    return MHD_YES;
+  /// Hands requests to the handler from the loop, since it may respond at once.
+  void hand(CallerSocket &Socket,
+            std::vector<std::pair<ExchangeId, Request>> Requests) {
+    for (auto &[Id, Received] : Requests) {
+      Waiting.emplace(Id, &Socket);
+      Loop.post([this, Held = std::weak_ptr<bool>(Alive), Number = Id,
+                 Message = std::move(Received)]() mutable {
+        if (Held.lock() && Waiting.contains(Number))
+          Answering.onRequest(*Server, Number, std::move(Message));
+      });
+    }
   }
 
-  MHD_Result finish(MHD_Connection *Connection, Exchange &Current) {
-    if (Current.Abandoned)
-      return MHD_NO;
-    if (Current.TooLarge)
-      return queueResponse(Connection, Answering.bodyTooLarge(), true);
-    if (Current.Answer)
-      return queueResponse(Connection, *Current.Answer,
-                           Current.Answer->CloseConnection);
-    Current.Id = ExchangeId(NextId++);
-    Waiting.emplace(Current.Id, &Current);
-    Current.Suspended = true;
-    MHD_suspend_connection(Connection);
-    // The handler may respond at once, which must not happen inside
-    // libmicrohttpd's callback.
-    Loop.post([this, Id = Current.Id] { hand(Id); });
-    return MHD_YES;
+  void drop(CallerSocket &Socket) {
+    const std::vector<ExchangeId> Abandoned = Socket.waiting();
+    Loop.unwatch(Socket.descriptor());
+    Sockets.erase(Socket.descriptor());
+    for (const ExchangeId Id : Abandoned)
+      if (Waiting.erase(Id) > 0)
+        Answering.onAbandoned(Id);
   }
 
-  void hand(ExchangeId Id) {
+  void respond(ExchangeId Id, Response Answer) {
     const auto Found = Waiting.find(Id);
     if (Found == Waiting.end())
       return;
-    Answering.onRequest(*Server, Id, std::move(Found->second->Received));
-  }
-
-  static MHD_Result onAccess(void *Self, MHD_Connection *Connection,
-                             const char *, const char *Method, const char *,
-                             const char *Data, std::size_t *Size,
-                             void **Context) {
-    auto &Impl = *static_cast<State *>(Self);
-    auto &Current = *static_cast<Exchange *>(*Context);
-    if (!Current.Started)
-      return Impl.begin(Connection, Current, Method);
-    if (*Size == 0)
-      return Impl.finish(Connection, Current);
-    std::string &Body = Current.Received.Body;
-    if (Body.size() + *Size > Impl.Limits.MaxBodyBytes)
-      Current.TooLarge = true;
-    else
-      Body.append(Data, *Size);
-    *Size = 0;
-    return MHD_YES;
-  }
-
-  static void *onUri(void *, const char *Uri, MHD_Connection *) {
-    auto Created = std::make_unique<Exchange>();
-    splitTarget(Uri, Created->Received);
-    return Created.release();
-  }
-
-  static void onCompleted(void *Self, MHD_Connection *Connection,
-                          void **Context, MHD_RequestTerminationCode) {
-    auto &Impl = *static_cast<State *>(Self);
-    const std::unique_ptr<Exchange> Ended(static_cast<Exchange *>(*Context));
-    *Context = nullptr;
-    if (!Ended)
-      return;
-    if (CallerSocket *Socket = socketOf(Connection);
-        Socket != nullptr && Socket->Current == Ended.get())
-      Socket->Current = nullptr;
-    if (Impl.Waiting.erase(Ended->Id) > 0)
-      Impl.Answering.onAbandoned(Ended->Id);
+    CallerSocket &Socket = *Found->second;
+    Waiting.erase(Found);
+    const base::BootTime Now = Loop.clock().now();
+    if (!Socket.respond(Id, std::move(Answer), Now))
+      return drop(Socket);
+    hand(Socket, Socket.takeBuffered(Limits, NextId));
+    advance(Socket, Now);
   }
 
-  static void onConnection(void *Self, MHD_Connection *Connection,
-                           void **Context,
-                           MHD_ConnectionNotificationCode Code) {
-    auto &Impl = *static_cast<State *>(Self);
-    if (Code == MHD_CONNECTION_NOTIFY_STARTED)
-      Impl.onConnected(Connection, Context);
-    else
-      Impl.onClosed(Context);
+  void sweep() {
+    const base::BootTime Now = Loop.clock().now();
+    std::vector<CallerSocket *> Expired;
+    for (const auto &[Descriptor, Socket] : Sockets)
+      if (Socket->expired(Limits, Now))
+        Expired.push_back(Socket.get());
+    for (CallerSocket *Each : Expired)
+      drop(*Each);
+    Sweep = Loop.after(kSweepInterval, [this] { sweep(); });
   }
 };
 
-AsyncServer::AsyncServer(std::unique_ptr<State> Impl) : Impl(std::move(Impl)) {
-  this->Impl->Server = this;
+AsyncServer::AsyncServer(std::unique_ptr<State> New) : Impl(std::move(New)) {
+  Impl->Server = this;
 }
 
 base::Result<std::unique_ptr<AsyncServer>>
 AsyncServer::start(const AsyncServerSettings &Settings,
                    eventloop::EventLoop &Loop, AsyncHandler &Answering) {
   auto Impl = std::make_unique<State>(Settings, Loop, Answering);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Settings.Port);
-  if (inet_pton(AF_INET, Settings.Ip.c_str(), &Address.sin_addr) != 1)
-    return base::fail(base::ErrorKind::Internal,
-                      "not an IPv4 address: " + Settings.Ip);
-  Impl->Daemon = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Settings.Port, nullptr, nullptr,
-      &State::onAccess, Impl.get(), MHD_OPTION_SOCK_ADDR,
-      reinterpret_cast<sockaddr *>(&Address), MHD_OPTION_CONNECTION_LIMIT,
-      Settings.MaxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      Settings.ConnectionMemoryBytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      static_cast<unsigned>(kListenBacklog), MHD_OPTION_URI_LOG_CALLBACK,
-      &State::onUri, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &State::onCompleted,
-      Impl.get(), MHD_OPTION_NOTIFY_CONNECTION, &State::onConnection,
-      Impl.get(), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-  if (Impl->Daemon == nullptr)
-    return base::fail(base::ErrorKind::Internal,
-                      "can't listen on " + Settings.Ip + ":" +
-                          std::to_string(Settings.Port));
-  Impl->Port =
-      MHD_get_daemon_info(Impl->Daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-  Impl->DaemonEpoll =
-      MHD_get_daemon_info(Impl->Daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  BOOST_LEAF_ASSIGN(Impl->Listening, listenAt(Settings));
   State *Raw = Impl.get();
-  Loop.watch(Raw->DaemonEpoll, EPOLLIN,
-             [Raw](std::uint32_t) { Raw->runNow(); });
+  Loop.watch(Raw->Listening.Descriptor, EPOLLIN,
+             [Raw](std::uint32_t) { Raw->acceptAll(); });
+  Raw->sweep();
   return std::unique_ptr<AsyncServer>(new AsyncServer(std::move(Impl)));
 }
 
 AsyncServer::~AsyncServer() {
-  Impl->Loop.cancel(Impl->Timer);
-  Impl->Loop.unwatch(Impl->DaemonEpoll);
-  for (auto &[Id, Held] : Impl->Waiting) {
-    Held->Abandoned = true;
-    if (std::exchange(Held->Suspended, false))
-      MHD_resume_connection(Held->Connection);
-  }
-  Impl->Waiting.clear();
-  MHD_stop_daemon(Impl->Daemon);
+  Impl->Loop.cancel(Impl->Sweep);
+  Impl->Loop.unwatch(Impl->Listening.Descriptor);
+  close(Impl->Listening.Descriptor);
+  for (const auto &[Descriptor, Socket] : Impl->Sockets)
+    Impl->Loop.unwatch(Descriptor);
 }
 
-std::uint16_t AsyncServer::port() const { return Impl->Port; }
+std::uint16_t AsyncServer::port() const { return Impl->Listening.Port; }
 
 void AsyncServer::setLimits(const CallerLimits &New) { Impl->Limits = New; }
 
 void AsyncServer::respond(ExchangeId Id, Response Answer) {
-  const auto Found = Impl->Waiting.find(Id);
-  if (Found == Impl->Waiting.end())
-    return;
-  Exchange &Held = *Found->second;
-  Impl->Waiting.erase(Found);
-  Held.Answer = std::move(Answer);
-  Impl->resume(Held);
+  Impl->respond(Id, std::move(Answer));
 }
 
 std::size_t AsyncServer::openExchanges() const { return Impl->Waiting.size(); }
--- a/src/http/internal/mhdsupport.cpp
+++ b/src/http/internal/mhdsupport.cpp
@@ -25,12 +25,4 @@
   return MHD_YES;
 }
 
-void splitTarget(const char *Target, Request &Received) {
-  const std::string Text = Target;
-  const std::size_t Question = Text.find('?');
-  Received.Path = Text.substr(0, Question);
-  if (Question != std::string::npos)
-    Received.Query = Text.substr(Question + 1);
-}
-
 } // namespace http
--- a/src/http/internal/mhdsupport.h
+++ b/src/http/internal/mhdsupport.h
@@ -16,9 +16,6 @@
 MHD_Result collectHeader(void *Target, MHD_ValueKind Kind, const char *Name,
                          const char *Value);
 
-/// Sets the path and the query from a request target.
-void splitTarget(const char *Target, Request &Received);
-
 } // namespace http
 
 #endif // JACKDAW_HTTP_INTERNAL_MHDSUPPORT_H
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -54,6 +54,9 @@
 /// (RFC 9110 section 7.6.1), or is set anew by each hop.
 bool isHopByHopHeader(std::string_view Name);
 
+/// Sets the path and the query from a request target.
+void splitTarget(const std::string &Target, Request &Received);
+
 /// Whether `List`, the comma-separated value of a header, names `Name`,
 /// ignoring case.
 bool listNames(std::string_view List, std::string_view Name);
--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -39,8 +39,6 @@
     Loop.stop();
   }
 
-  http::Response bodyTooLarge() const override { return {413, {}, ""}; }
-
   eventloop::EventLoop &Loop;
   std::optional<base::Duration> Delay = 1ms;
   std::vector<http::Request> Requests;
@@ -158,6 +156,76 @@
   close(Socket);
 }
 
+// Guards against a request whose time runs out unseen behind another one.
+TEST_CASE("a request behind one that waits is handed out at once") {
+  eventloop::EventLoop Loop(kTime);
+  DelayedHandler Handler(Loop);
+  Handler.Delay.reset();
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  const int Socket = dial(Server->port());
+  sendText(Socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                   "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  Loop.after(100ms, [&] { Loop.stop(); });
+  Loop.run();
+  CHECK(Handler.Requests.size() == 2);
+  close(Socket);
+}
+
+// Guards against a request smuggled in the body of another one, and against a
+// connection that is used on after bytes that are no request.
+TEST_CASE("ambiguous or malformed requests end the connection with 400") {
+  for (const char *Text : {"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                           "Content-Length: 4\r\n\r\nabcd",
+                           "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                           "nonsense\r\n\r\n"}) {
+    CAPTURE(Text);
+    eventloop::EventLoop Loop(kTime);
+    DelayedHandler Handler(Loop);
+    auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+    const int Socket = dial(Server->port());
+    sendText(Socket, Text);
+    Loop.after(100ms, [&] { Loop.stop(); });
+    Loop.run();
+    char Buffer[4096] = {};
+    CHECK(read(Socket, Buffer, sizeof(Buffer) - 1) > 0);
+    CHECK(std::string(Buffer).starts_with("HTTP/1.1 400 "));
+    CHECK(Handler.Requests.empty());
+    close(Socket);
+  }
+}
+
+// Guards against requests that were read and get no response when the
+// connection is closed, as while a daemon stops.
+TEST_CASE("a closing connection answers all requests that were read") {
+  eventloop::EventLoop Loop(kTime);
+  DelayedHandler Handler(Loop);
+  Handler.Delay.reset();
+  auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  const int Socket = dial(Server->port());
+  sendText(Socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                   "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  Loop.after(50ms, [&] {
+    http::Response Closing{200, {}, "/1"};
+    Closing.CloseConnection = true;
+    Server->respond(http::ExchangeId(1), Closing);
+  });
+  Loop.after(100ms, [&] {
+    Server->respond(http::ExchangeId(2), {200, {}, "/2"});
+    Loop.stop();
+  });
+  Loop.run();
+  std::string Text;
+  char Buffer[4096];
+  for (ssize_t Count = 0; (Count = read(Socket, Buffer, sizeof(Buffer))) > 0;)
+    Text.append(Buffer, static_cast<std::size_t>(Count));
+  const std::size_t Second = Text.find("/2");
+  REQUIRE(Second != std::string::npos);
+  CHECK(Text.find("/1") < Second);
+  CHECK(Text.find("Connection: close") > Text.find("/1"));
+  close(Socket);
+}
+
 // Guards against work that goes on for a caller who has left.
 TEST_CASE("a caller who closes the connection is noticed while it waits") {
   eventloop::EventLoop Loop(kTime);
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -48,7 +48,6 @@
   void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
                  http::Request Received) override;
   void onAbandoned(http::ExchangeId Id) override;
-  http::Response bodyTooLarge() const override;
 
   std::size_t openRequests() const { return Requests.size(); }
 
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -65,7 +65,6 @@
     if (Requests)
       Requests->onAbandoned(Id);
   }
-  http::Response bodyTooLarge() const override { return {413, {}, ""}; }
 
   // PeerConsumer
   void onFrame(transport::ConnectionId Connection, const base::ProcessId &Peer,
@@ -256,6 +255,7 @@
   Requests->adopt(New);
   Rates->adopt(New);
   http::CallerLimits Limits;
+  Limits.MaxHeaderBytes = Content.Callers.MaxHeaderBytes;
   Limits.MaxBodyBytes = Content.Callers.MaxBodyBytes;
   Limits.IdleTimeout = Content.Callers.IdleTimeout;
   if (CallerServer != nullptr)
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -78,12 +78,6 @@
       Calls(Calls), Choice(Choice), Rates(Rates),
       Random(std::random_device()()) {}
 
-http::Response Entry::bodyTooLarge() const {
-  http::Response Answer;
-  Answer.Status = base::answerFor(base::ErrorKind::BodyTooLarge).Status;
-  return Answer;
-}
-
 void Entry::onRequest(http::AsyncServer &Server, http::ExchangeId Id,
                       http::Request Received) {
   OpenRequest &Request = Requests[Id];
