Acknowledge a backend server's reports before the daemon has joined

What the server says is kept and binds from the start. News of members takes effect with the datagram that brings it instead of at the next tick.

--- a/src/relay/daemon.h
+++ b/src/relay/daemon.h
@@ -70,12 +70,12 @@
   /// Limits on callers that follow the policy are set on this server.
   void setCallerServer(http::AsyncServer &Server);
 
-  /// A report of the backend server. Returns false before the daemon can hold
-  /// to what it acknowledges.
-  bool report(const ServerReport &Received);
+  /// A report of the backend server; it binds from now on, also before the
+  /// daemon has joined the fleet.
+  void report(const ServerReport &Received);
 
-  /// The backend server of this id says that it is going; false as above.
-  bool leave(const std::string &Id);
+  /// The backend server of this id says that it is going.
+  void leave(const std::string &Id);
 
   /// Whether requests can be served and no stop has been asked for.
   bool ready() const;
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -106,6 +106,8 @@
   std::unique_ptr<RateKeeper> Rates;
   std::unique_ptr<Entry> Requests;
   eventloop::TimerId Ticker;
+  /// What the backend server said before this daemon joined.
+  LocalServer EarlyReports;
   bool Draining = false;
 };
 
@@ -145,7 +147,7 @@
   Calls = std::make_unique<CallSender>(Time, Self, *Peers);
   Server = std::make_unique<Serving>(
       ServingSettings{Self, Settings.Headers, Settings.ServerUrl}, Loop,
-      Metrics, Log, *Peers);
+      Metrics, Log, *Peers, EarlyReports);
   Rates = std::make_unique<RateKeeper>(Loop, Metrics, Log, *Peers,
                                        Settings.Instance, Settings.Tolerance,
                                        Settings.FirstStart);
@@ -289,18 +291,18 @@
   Impl->CallerServer = &Server;
 }
 
-bool Daemon::report(const ServerReport &Received) {
-  if (!Impl->Server)
-    return false;
-  Impl->Server->report(Received);
-  return true;
+void Daemon::report(const ServerReport &Received) {
+  if (Impl->Server)
+    Impl->Server->report(Received);
+  else
+    Impl->EarlyReports.report(Received);
 }
 
-bool Daemon::leave(const std::string &Id) {
-  if (!Impl->Server)
-    return false;
-  Impl->Server->leave(Id);
-  return true;
+void Daemon::leave(const std::string &Id) {
+  if (Impl->Server)
+    Impl->Server->leave(Id);
+  else
+    Impl->EarlyReports.leave(Id);
 }
 
 bool Daemon::ready() const {
--- a/src/relay/internal/directory.cpp
+++ b/src/relay/internal/directory.cpp
@@ -69,8 +69,12 @@
 
 void Directory::onDatagram(const base::PeerAddress &From,
                            const std::string &Body) {
-  if (const auto Message = membership::decode(Body))
-    send(Gossip.receive(*Message, From, Loop.clock().now()));
+  const auto Message = membership::decode(Body);
+  if (!Message)
+    return;
+  send(Gossip.receive(*Message, From, Loop.clock().now()));
+  // News of a daemon that leaves counts for the next request already.
+  noteChanges();
 }
 
 void Directory::tick() {
--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -66,11 +66,13 @@
 
 Serving::Serving(ServingSettings Settings, eventloop::EventLoop &Loop,
                  base::MetricsRegistry &Metrics, DecisionLog &Log,
-                 transport::PeerTransport &Peers)
+                 transport::PeerTransport &Peers, const LocalServer &Known)
     : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
-      Peers(Peers), Client(Loop), Executions(Loop.clock(), this->Settings.Self),
+      Peers(Peers), Client(Loop), Server(Known),
+      Executions(Loop.clock(), this->Settings.Self),
       Queue(Loop.clock(), {kQueueLength, kLongestQueueTime}),
-      Limit(std::make_unique<overload::FixedLimit>(1)),
+      Limit(std::make_unique<overload::FixedLimit>(
+          Known.current() != nullptr ? Known.current()->Slots : 1)),
       MaxIdle(kDefaultMaxIdle) {}
 
 ReportVerdict Serving::report(const ServerReport &Received) {
--- a/src/relay/serving.h
+++ b/src/relay/serving.h
@@ -29,9 +29,10 @@
 /// that it leaves. What is turned away here has not reached the server.
 class Serving {
 public:
+  /// `Known` is what the backend server has said so far.
   Serving(ServingSettings Settings, eventloop::EventLoop &Loop,
           base::MetricsRegistry &Metrics, DecisionLog &Log,
-          transport::PeerTransport &Peers);
+          transport::PeerTransport &Peers, const LocalServer &Known);
 
   /// Takes in a report of the backend server.
   ReportVerdict report(const ServerReport &Received);
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -135,6 +135,18 @@
   CHECK(Test.runs() == 1);
 }
 
+// Guards against new work for a server whose leaving was acknowledged before
+// the daemon had joined the fleet.
+TEST_CASE("what a server says before the daemon has joined is kept") {
+  RawServer Server(&succeed);
+  RelayFleet Fleet;
+  Fleet.add("back", Server.url());
+  Fleet.report(0, 2, true);
+  Fleet.publish(simplePolicy("back"));
+  CHECK(Fleet.ask(0, callerRequest("POST", "/once/x")).Received.Status == 503);
+  CHECK(Server.requests().empty());
+}
+
 TEST_CASE("an idempotent request is tried at another server") {
   std::atomic<int> Calls = 0;
   const RawServer::Script FailFirst = [&](const std::string &Request) {
