--- a/src/relay/callsender.h
+++ b/src/relay/callsender.h
@@ -17,6 +17,7 @@
   execution::CallVerdict Verdict;
   /// Load that the serving daemon reported; negative if it did not.
   std::int32_t Load = -1;
+  CallTimes Times;
 };
 
 /// Sends calls to serving daemons and finds out how each ended, also when the
@@ -51,6 +52,7 @@
     base::PeerAddress Peer;
     Callback Done;
     std::int32_t Load = -1;
+    CallTimes Times;
   };
 
   void runActions();
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -89,7 +89,8 @@
   void attempt(OpenRequest &Request);
   void onCallEnded(http::ExchangeId Id, const CallEnding &Ending);
   bool mayTryAgain(OpenRequest &Request, const execution::CallVerdict &Verdict);
-  void answerWith(OpenRequest &Request, const execution::Response &Answer);
+  void answerWith(OpenRequest &Request, const execution::Response &Answer,
+                  const CallTimes &Times);
   void onDeadline(http::ExchangeId Id);
   void giveUp(OpenRequest &Request);
   void refuse(OpenRequest &Request, base::ErrorKind Kind);
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -28,6 +28,7 @@
 /// back; callers follow a `Retry-After` of up to a third.
 constexpr double kEarliestReturn = 0.08;
 constexpr double kLatestReturn = 0.3;
+constexpr std::uint16_t kFirstServerError = 500;
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kBadGateway = 502;
 constexpr std::uint16_t kUnavailable = 503;
@@ -262,7 +263,7 @@
     ++Request.Arrivals;
   Request.Overall = execution::combineOutcomes(Request.Overall, Verdict.What);
   if (!Verdict.Error && Answer)
-    return answerWith(Request, *Answer);
+    return answerWith(Request, *Answer, Ending.Times);
   Request.LastError = Verdict.Error.value_or(base::ErrorKind::OutcomeUnknown);
   if (mayTryAgain(Request, Verdict))
     return attempt(Request);
@@ -287,8 +288,28 @@
   return false;
 }
 
-void Entry::answerWith(OpenRequest &Request,
-                       const execution::Response &Answer) {
+void Entry::answerWith(OpenRequest &Request, const execution::Response &Answer,
+                       const CallTimes &Times) {
+  const base::Duration Age = Loop.clock().now() - Request.ArrivedAt;
+  const bool Late =
+      Request.Route->Objective > 0s && Age > Request.Route->Objective;
+  if (Late)
+    Metrics.counter("requests_late_total").add();
+  if (Late || Answer.Status >= kFirstServerError)
+    Log.request(Late ? "request_late" : "request_failed",
+                {{"request", Request.AttemptId},
+                 {"status", Answer.Status},
+                 {"route", Request.Route->Name},
+                 {"service", Request.Message.Context.Service.str()},
+                 {"workspace", Request.Message.Context.Scope.Workspace.str()},
+                 {"inner", Request.Message.Inner},
+                 {"policy", Request.Policy->version().value()},
+                 {"served_by", Request.Target.Process.Instance.str()},
+                 {"tried", Request.Tried.size()},
+                 {"age_ms", milliseconds(Age)},
+                 {"objective_ms", milliseconds(Request.Route->Objective)},
+                 {"queue_ms", Times.QueueMicros / 1000},
+                 {"server_ms", Times.ServerMicros / 1000}});
   http::Response Final;
   Final.Status = Answer.Status;
   Final.Body = Answer.Body;
--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -58,6 +58,11 @@
   return Result;
 }
 
+std::uint64_t microseconds(base::Duration Value) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Value).count());
+}
+
 std::int64_t milliseconds(base::Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
@@ -216,16 +221,18 @@
   QueuedCall Next = std::move(Found->second);
   Queued.erase(Found);
   Metrics.histogram("queue_seconds").record(Popped->Waited);
-  pass(Id, std::move(Next));
+  pass(Id, std::move(Next), Popped->Waited);
   return true;
 }
 
-void Serving::pass(const base::RequestId &Id, QueuedCall Call) {
+void Serving::pass(const base::RequestId &Id, QueuedCall Call,
+                   base::Duration Waited) {
   const base::BootTime Now = Loop.clock().now();
   const base::Duration Left =
       execution::deadlineOf(Call.Message.Context, Call.ArrivedAt) - Now;
   RunningCall Started;
   Started.StartedAt = Now;
+  Started.Queued = Waited;
   Started.ServerId = Server.current()->Server.Id;
   http::Request &Sent = Call.Message.Request;
   Started.AttemptId =
@@ -324,13 +331,17 @@
 void Serving::finish(const base::RequestId &Id, execution::Response Answer,
                      overload::CallEnd End) {
   const auto Found = Running.find(Id);
-  Limit->callEnded(End, Loop.clock().now() - Found->second.StartedAt);
+  const base::Duration Worked = Loop.clock().now() - Found->second.StartedAt;
+  const CallTimes Times{microseconds(Found->second.Queued),
+                        microseconds(Worked)};
+  Limit->callEnded(End, Worked);
   Running.erase(Found);
   Metrics.counter("calls_run_total").add();
   const auto ReplyTo = Executions.replyTo(Id);
   Executions.finish(Id, std::make_shared<execution::Response>(Answer));
   if (ReplyTo)
-    answer(transport::ConnectionId(ReplyTo->value()), Id, std::move(Answer));
+    answer(transport::ConnectionId(ReplyTo->value()), Id, std::move(Answer),
+           Times);
   pump();
 }
 
@@ -354,8 +365,9 @@
 }
 
 void Serving::answer(transport::ConnectionId To, const base::RequestId &Id,
-                     execution::Response Answer) {
+                     execution::Response Answer, const CallTimes &Times) {
   CallAnswerFrame Message;
+  Message.Times = Times;
   Message.Id = Id;
   Message.Answer = std::move(Answer);
   Message.Load = static_cast<std::uint32_t>(openCalls());
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -39,13 +39,26 @@
   }
 };
 
+/// Where a call spent its time at the serving daemon, in microseconds.
+struct CallTimes {
+  std::uint64_t QueueMicros = 0;
+  std::uint64_t ServerMicros = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(QueueMicros, ServerMicros);
+  }
+};
+
 struct CallAnswerFrame {
   base::RequestId Id;
   execution::Response Answer;
   /// Calls queued and running at the serving daemon.
   std::uint32_t Load = 0;
+  CallTimes Times;
 
-  template <class Archive> void serialize(Archive &Ar) { Ar(Id, Answer, Load); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Id, Answer, Load, Times);
+  }
 };
 
 /// The frame that carries `Message`.
--- a/src/relay/serving.h
+++ b/src/relay/serving.h
@@ -63,13 +63,14 @@
     std::string AttemptId;
     http::TransferId Transfer;
     std::string ServerId;
+    base::Duration Queued{};
   };
 
   void replaceLimit(std::uint32_t Slots);
   void rejectQueued(base::ErrorKind Kind);
   void pump();
   bool startNext();
-  void pass(const base::RequestId &Id, QueuedCall Call);
+  void pass(const base::RequestId &Id, QueuedCall Call, base::Duration Waited);
   void onExchangeEnded(const base::RequestId &Id, http::ExchangeResult Result);
   execution::Response answerOf(const RunningCall &Call,
                                http::ExchangeResult &Result);
@@ -77,7 +78,7 @@
               overload::CallEnd End);
   void refuse(const base::RequestId &Id, base::ErrorKind Kind, const char *Why);
   void answer(transport::ConnectionId To, const base::RequestId &Id,
-              execution::Response Answer);
+              execution::Response Answer, const CallTimes &Times = {});
   void logCall(const char *Event, const CallFrame &Message, const char *Why,
                const std::string &Detail) const;
 
