Replace a limit keeper that does not answer at once

Cause: the keeper of cubo951, sidecar-brugge-b-2, went away after the power loss, and gossip took until 42 s to declare it dead. Ruled out: the time to find the members again (all known 0.6 s after the start), lost records in the store. A permit that times out now marks the keeper as silent and asks its successor.

--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -48,6 +48,9 @@
   /// Must be called about every 20 ms.
   void tick();
 
+  /// A daemon does not answer: it is avoided until it is heard of again.
+  void reportSilent(const base::ProcessId &Process);
+
   /// Tells the others how far this daemon has read the configuration stream.
   void setConfigurationOffset(base::LogOffset Offset);
 
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -148,9 +148,10 @@
   Server = std::make_unique<Serving>(
       ServingSettings{Self, Settings.Headers, Settings.ServerUrl}, Loop,
       Metrics, Log, *Peers, EarlyReports);
-  Rates = std::make_unique<RateKeeper>(Loop, Metrics, Log, *Peers,
-                                       Settings.Instance, Settings.Tolerance,
-                                       Settings.FirstStart);
+  Rates = std::make_unique<RateKeeper>(
+      Loop, Metrics, Log, *Peers, Settings.Instance, Settings.Tolerance,
+      Settings.FirstStart,
+      [this](const base::ProcessId &Silent) { Members->reportSilent(Silent); });
   EntrySettings Front;
   Front.Headers = Settings.Headers;
   Front.Service = Settings.Service;
--- a/src/relay/internal/directory.cpp
+++ b/src/relay/internal/directory.cpp
@@ -82,6 +82,11 @@
   noteChanges();
 }
 
+void Directory::reportSilent(const base::ProcessId &Process) {
+  Gossip.reportSilent(Process);
+  noteChanges();
+}
+
 void Directory::noteChanges() {
   const std::vector<base::InstanceId> Changed = Gossip.takeChanges();
   if (Changed.empty())
--- a/src/relay/internal/ratekeeper.cpp
+++ b/src/relay/internal/ratekeeper.cpp
@@ -35,9 +35,10 @@
                        base::MetricsRegistry &Metrics, DecisionLog &Log,
                        transport::PeerTransport &Peers,
                        const base::InstanceId &Self,
-                       ratelimit::LimitTolerance Tolerance, bool Fresh)
+                       ratelimit::LimitTolerance Tolerance, bool Fresh,
+                       SilenceListener OnSilence)
     : Loop(Loop), Metrics(Metrics), Log(Log), Peers(Peers), Self(Self),
-      Limits(Loop.clock(), Tolerance, Fresh) {}
+      Limits(Loop.clock(), Tolerance, Fresh), OnSilence(std::move(OnSilence)) {}
 
 void RateKeeper::adopt(config::FleetPolicyPtr New) {
   Policy = std::move(New);
@@ -48,7 +49,7 @@
   Candidates.clear();
   for (const membership::MemberEntry &Entry : Members.entries())
     if (Entry.Record.State == membership::MemberState::Alive && !Entry.Silent)
-      Candidates.push_back({Entry.Record.Instance, Entry.Record.Peer});
+      Candidates.push_back({Entry.Record.process(), Entry.Record.Peer});
   chooseKeepers();
 }
 
@@ -76,19 +77,20 @@
     const auto Best =
         std::max_element(Candidates.begin(), Candidates.end(),
                          [&](const Member &First, const Member &Second) {
-                           return score(Each.Name, First.Instance) <
-                                  score(Each.Name, Second.Instance);
+                           return score(Each.Name, First.Process.Instance) <
+                                  score(Each.Name, Second.Process.Instance);
                          });
     Member &Keeper = Keepers[Each.Name];
-    if (Keeper.Instance != Best->Instance)
-      Log.state("limit_keeper_changed", {{"workspace", Each.Name.str()},
-                                         {"from", Keeper.Instance.str()},
-                                         {"to", Best->Instance.str()}});
+    if (Keeper.Process.Instance != Best->Process.Instance)
+      Log.state("limit_keeper_changed",
+                {{"workspace", Each.Name.str()},
+                 {"from", Keeper.Process.Instance.str()},
+                 {"to", Best->Process.Instance.str()}});
     Keeper = *Best;
     // A connection that has to be made first would hold up the first requests.
-    if (Keeper.Instance != Self)
+    if (Keeper.Process.Instance != Self)
       Peers.connectionTo(Keeper.Peer);
-    Limits.setKeeper(Each.Name, Best->Instance == Self);
+    Limits.setKeeper(Each.Name, Best->Process.Instance == Self);
   }
 }
 
@@ -116,11 +118,11 @@
   ByNumber.emplace(Current.Number, Workspace);
   Current.Timer =
       Loop.after(kPermitTimeout, [this, Name = base::WorkspaceName(Workspace)] {
-        Metrics.counter("permit_timeouts_total").add();
-        settle(Name, 0, GateVerdict::Unavailable);
+        onTimeout(Name);
       });
   Metrics.counter("permit_requests_total").add();
   const Member *Keeper = keeperOf(Workspace);
+  Current.Asked = Keeper != nullptr ? Keeper->Process : base::ProcessId();
   if (Keeper == nullptr)
     return;
   Peers.send(
@@ -129,6 +131,22 @@
                 PermitRequest{Current.Number, Workspace, Current.Wanted}));
 }
 
+/// A keeper that does not answer is avoided at once, and its successor is
+/// asked; detecting that it is gone takes gossip several seconds.
+void RateKeeper::onTimeout(const base::WorkspaceName &Workspace) {
+  Metrics.counter("permit_timeouts_total").add();
+  Asking &Current = Asks[Workspace];
+  const base::ProcessId Asked = Current.Asked;
+  if (!Asked.Instance.empty() && Asked.Instance != Self)
+    OnSilence(Asked);
+  const Member *Keeper = keeperOf(Workspace);
+  if (Current.Repeated || Keeper == nullptr || Keeper->Process == Asked)
+    return settle(Workspace, 0, GateVerdict::Unavailable);
+  ByNumber.erase(Current.Number);
+  Current.Repeated = true;
+  ask(Workspace, Current);
+}
+
 void RateKeeper::onPermitRequest(transport::ConnectionId From,
                                  const PermitRequest &Request) {
   PermitGrant Grant{Request.Number, 0};
@@ -154,6 +172,7 @@
   Asking &Current = Asks[Workspace];
   Loop.cancel(Current.Timer);
   ByNumber.erase(std::exchange(Current.Number, 0));
+  Current.Repeated = false;
   const bool Enough = Granted >= Current.Wanted;
   std::vector<Callback> Waiting = std::exchange(Current.Waiting, {});
   const std::size_t Admitted = std::min<std::size_t>(Granted, Waiting.size());
--- a/src/relay/ratekeeper.h
+++ b/src/relay/ratekeeper.h
@@ -10,6 +10,7 @@
 #include "relay/rategate.h"
 #include "transport/peertransport.h"
 
+#include <functional>
 #include <unordered_map>
 #include <vector>
 
@@ -39,10 +40,13 @@
 /// reach no majority of the fleet have no keeper, since the others have one.
 class RateKeeper final : public RateGate {
 public:
+  /// Told of a keeper that does not answer.
+  using SilenceListener = std::function<void(const base::ProcessId &)>;
+
   RateKeeper(eventloop::EventLoop &Loop, base::MetricsRegistry &Metrics,
              DecisionLog &Log, transport::PeerTransport &Peers,
              const base::InstanceId &Self, ratelimit::LimitTolerance Tolerance,
-             bool Fresh);
+             bool Fresh, SilenceListener OnSilence);
 
   void admit(const config::WorkspacePolicy &Workspace, Callback Done) override;
 
@@ -59,7 +63,7 @@
 
 private:
   struct Member {
-    base::InstanceId Instance;
+    base::ProcessId Process;
     base::PeerAddress Peer;
   };
   /// Requests of one workspace that wait for permits.
@@ -68,11 +72,16 @@
     std::uint32_t Wanted = 0;
     std::vector<Callback> Waiting;
     eventloop::TimerId Timer;
+    /// The keeper that was asked, if there was one.
+    base::ProcessId Asked;
+    /// An earlier keeper has not answered these requests.
+    bool Repeated = false;
   };
 
   void chooseKeepers();
   const Member *keeperOf(const base::WorkspaceName &Workspace) const;
   void ask(const base::WorkspaceName &Workspace, Asking &Current);
+  void onTimeout(const base::WorkspaceName &Workspace);
   void settle(const base::WorkspaceName &Workspace, std::uint32_t Granted,
               GateVerdict Otherwise);
 
@@ -82,6 +91,7 @@
   transport::PeerTransport &Peers;
   const base::InstanceId Self;
   ratelimit::DividedLimits Limits;
+  const SilenceListener OnSilence;
   config::FleetPolicyPtr Policy;
   std::vector<Member> Candidates;
   /// Daemons that are announced, whether reachable or not.
