Throttle routes at the entry while most of their requests fail further down

Tried before: letting in in proportion to successes, counting refusals as seen; it needed over 10 s to open again.

--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -4,6 +4,7 @@
 #include "config/fleetpolicy.h"
 #include "eventloop/eventloop.h"
 #include "http/asyncserver.h"
+#include "overload/successthrottle.h"
 #include "relay/callsender.h"
 #include "relay/decisionlog.h"
 #include "relay/destinations.h"
@@ -11,9 +12,11 @@
 #include "relay/types.h"
 #include "retry/retrybudget.h"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace relay {
@@ -68,6 +71,8 @@
     std::optional<base::RequestId> Call;
     routing::Choice Target;
     std::vector<base::ProcessId> Tried;
+    /// It was let in, so its end says something about the route.
+    bool Started = false;
     /// Attempts that reached a backend server.
     std::uint32_t Arrivals = 0;
     base::Outcome Overall = base::Outcome::NotRun;
@@ -100,6 +105,8 @@
   void logRequest(const char *Event, const OpenRequest &Request,
                   base::ErrorKind Kind, std::uint16_t Status) const;
   retry::RetryBudget &budgetOf(const base::ServiceName &Service);
+  overload::SuccessThrottle &throttleOf(const OpenRequest &Request);
+  void recordEnd(const OpenRequest &Request, bool Succeeded);
 
   const EntrySettings Settings;
   eventloop::EventLoop &Loop;
@@ -111,6 +118,10 @@
   config::FleetPolicyPtr Policy;
   std::unordered_map<http::ExchangeId, OpenRequest> Requests;
   std::unordered_map<base::ServiceName, retry::RetryBudget> Budgets;
+  /// By route and rank, since workspaces may outrank the route.
+  std::map<std::pair<std::string, base::PriorityClass>,
+           overload::SuccessThrottle>
+      Throttles;
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
   bool Draining = false;
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -22,6 +23,10 @@
 /// The same for a call of a request that is under way, as a share of the time
 /// left: refusing it wastes the work done so far.
 constexpr int kInnerQueueShare = 2;
+/// New requests are throttled while fewer than one in this many succeeds, by
+/// priority class: the less urgent a class, the sooner it is turned away.
+constexpr std::array<double, base::kPriorityClassCount> kThrottleTolerance{
+    2.0, 1.6, 1.3};
 /// Daemons that are asked for one request before it is refused.
 constexpr std::size_t kMaxTargets = 4;
 /// Bounds of the share of the caller's remaining time after which it may come
@@ -121,11 +126,30 @@
     return refuse(Request, base::ErrorKind::RateExceeded);
   if (Verdict == GateVerdict::Unavailable)
     return refuse(Request, base::ErrorKind::LimitUnavailable);
+  if (!Request.Message.Inner &&
+      !throttleOf(Request).admits(
+          std::uniform_real_distribution<double>(0, 1)(Random)))
+    return refuse(Request, base::ErrorKind::Overloaded);
+  Request.Started = true;
   budgetOf(Request.Message.Context.Service)
       .recordFirstAttempt(Request.ArrivedAt);
   attempt(Request);
 }
 
+overload::SuccessThrottle &Entry::throttleOf(const OpenRequest &Request) {
+  const base::PriorityClass Class = Request.Message.Context.Scope.Priority;
+  return Throttles
+      .try_emplace({Request.Route->Name, Class}, Loop.clock(),
+                   kThrottleTolerance[static_cast<std::size_t>(Class)])
+      .first->second;
+}
+
+/// Tells the throttle how a request ended that was let in.
+void Entry::recordEnd(const OpenRequest &Request, bool Succeeded) {
+  if (Request.Started && !Request.Message.Inner)
+    throttleOf(Request).ended(Request.ArrivedAt, Succeeded);
+}
+
 /// Reads how long the caller waits; the route bounds it once it is known.
 void Entry::setDeadlines(OpenRequest &Request) {
   base::Duration Wait = kDefaultCallerTime;
@@ -316,6 +340,7 @@
   for (const execution::Header &Each : Answer.Headers)
     Final.Headers.push_back({Each.Name, Each.Value});
   Metrics.counter("requests_answered_total").add();
+  recordEnd(Request, Answer.Status < kFirstServerError);
   respond(Request, std::move(Final));
 }
 
@@ -361,6 +386,7 @@
 
 void Entry::refuse(OpenRequest &Request, base::ErrorKind Kind) {
   const std::uint16_t Status = statusOf(Kind, Request.Overall);
+  recordEnd(Request, false);
   Metrics
       .counter("requests_refused_total{kind=\"" +
                std::string(base::answerFor(Kind).Name) + "\",status=\"" +
