--- a/src/http/internal/asyncserver.cpp
+++ b/src/http/internal/asyncserver.cpp
@@ -129,7 +129,7 @@
 
   /// Hands requests to the handler from the loop, since it may respond at once.
   void hand(CallerSocket &Socket,
-            std::vector<std::pair<ExchangeId, Request>> Requests) {
+            std::vector<std::pair<ExchangeId, Request>> &&Requests) {
     for (auto &[Id, Received] : Requests) {
       Waiting.emplace(Id, &Socket);
       Loop.post([this, Held = std::weak_ptr<bool>(Alive), Number = Id,
