Log what a backend server said before its daemon had joined

Traced with the stand-in's output: the server ran and its first heartbeat came before the daemon had joined; that report was taken over without a line, and the following ones changed nothing. Ruled out: the stand-in (it listened), its port, stale reports.

--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -78,17 +78,25 @@
       Queue(Loop.clock(), {kQueueLength, kLongestQueueTime}),
       Limit(std::make_unique<overload::FixedLimit>(
           Known.current() != nullptr ? Known.current()->Slots : 1)),
-      MaxIdle(kDefaultMaxIdle) {}
+      MaxIdle(kDefaultMaxIdle) {
+  if (Server.current() != nullptr)
+    logServer();
+}
+
+void Serving::logServer() const {
+  const ServerReport &Current = *Server.current();
+  Log.state("server_changed", {{"server", Current.Server.Id},
+                               {"born", Current.Server.Born},
+                               {"sequence", Current.Sequence},
+                               {"slots", Current.Slots},
+                               {"available", Server.available()}});
+}
 
 ReportVerdict Serving::report(const ServerReport &Received) {
   const ReportVerdict Verdict = Server.report(Received);
   if (Verdict != ReportVerdict::Changed)
     return Verdict;
-  Log.state("server_changed", {{"server", Received.Server.Id},
-                               {"born", Received.Server.Born},
-                               {"sequence", Received.Sequence},
-                               {"slots", Received.Slots},
-                               {"available", Server.available()}});
+  logServer();
   replaceLimit(Received.Slots);
   if (Server.available())
     pump();
--- a/src/relay/serving.h
+++ b/src/relay/serving.h
@@ -66,6 +66,7 @@
     base::Duration Queued{};
   };
 
+  void logServer() const;
   void replaceLimit(std::uint32_t Slots);
   void rejectQueued(base::ErrorKind Kind);
   void pump();
