--- a/src/overload/tests/successthrottletest.cpp
+++ b/src/overload/tests/entrythrottletest.cpp
@@ -1,4 +1,4 @@
-#include "overload/successthrottle.h"
+#include "overload/entrythrottle.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +6,7 @@
 #include <random>
 
 using namespace std::chrono_literals;
-using overload::SuccessThrottle;
+using overload::EntryThrottle;
 
 namespace {
 
@@ -20,9 +20,9 @@
   static constexpr base::Duration kTimeout = 500ms;
 
   struct Outcome {
-    base::BootTime Started;
     base::BootTime At;
     bool Succeeded;
+    bool Congested;
   };
 
   /// Starts a request; its outcome comes later.
@@ -33,12 +33,14 @@
     BusyUntil = std::max(BusyUntil, Now);
     // Calls that can't start before the request times out are dropped.
     if (BusyUntil - Now > 2 * kTimeout) {
-      Outcomes.push_back({Now, Now + kTimeout, false});
+      Outcomes.push_back({Now + kTimeout, false, true});
       return;
     }
+    const bool Congested = BusyUntil - Now > 20ms;
     BusyUntil += Work;
     const bool InTime = BusyUntil - Now <= kTimeout;
-    Outcomes.push_back({Now, InTime ? BusyUntil : Now + kTimeout, InTime});
+    Outcomes.push_back(
+        {InTime ? BusyUntil : Now + kTimeout, InTime, Congested});
   }
 
   base::ManualClock &Clock;
@@ -50,7 +52,7 @@
 int offer(double PerSecond, int Seconds, bool Throttled) {
   base::ManualClock Clock;
   DeepService Service(Clock);
-  SuccessThrottle Throttle(Clock, 1.3);
+  EntryThrottle Throttle(Clock, base::PriorityClass::Background);
   std::mt19937 Random(7);
   std::uniform_real_distribution<double> Uniform(0, 1);
   int Succeeded = 0;
@@ -61,7 +63,7 @@
         ++At;
         continue;
       }
-      Throttle.ended(At->Started, At->Succeeded);
+      Throttle.ended(At->Succeeded, At->Congested);
       Succeeded += At->Succeeded ? 1 : 0;
       At = Service.Outcomes.erase(At);
     }
@@ -98,10 +100,10 @@
 // Guards against a throttle that stays after the trouble has ended.
 TEST_CASE("a throttled route opens again within seconds") {
   base::ManualClock Clock;
-  SuccessThrottle Throttle(Clock, 1.3);
+  EntryThrottle Throttle(Clock, base::PriorityClass::Background);
   for (int Count = 0; Count < 200; ++Count) {
     Clock.advance(10ms);
-    Throttle.ended(Clock.now(), false);
+    Throttle.ended(false, true);
   }
   CHECK(!Throttle.admits(0.5));
   int Refused = 0;
@@ -110,9 +112,33 @@
   for (int Count = 0; Count < 1000; ++Count) {
     Clock.advance(10ms);
     if (Throttle.admits(Uniform(Random)))
-      Throttle.ended(Clock.now(), true);
+      Throttle.ended(true, false);
     else
       Refused += Count >= 500 ? 1 : 0;
   }
   CHECK(Refused < 50);
 }
+
+// Pattern: one of nine servers mutes half of its requests. Guards against a
+// throttle that refuses requests because of failures that no queue causes.
+TEST_CASE("failures of a few broken servers do not throttle a route") {
+  base::ManualClock Clock;
+  EntryThrottle Throttle(Clock, base::PriorityClass::Background);
+  std::mt19937 Random(3);
+  for (int Count = 0; Count < 1000; ++Count) {
+    Clock.advance(10ms);
+    Throttle.ended(Random() % 18 != 0, false);
+  }
+  CHECK(Throttle.share() > 0.9);
+}
+
+// Guards against requests that time out in a queue and so never report it.
+TEST_CASE("a route on which most requests time out is throttled") {
+  base::ManualClock Clock;
+  EntryThrottle Throttle(Clock, base::PriorityClass::Critical);
+  for (int Count = 0; Count < 500; ++Count) {
+    Clock.advance(10ms);
+    Throttle.ended(Count % 5 == 0, false);
+  }
+  CHECK(Throttle.share() < 0.2);
+}
--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -38,7 +38,7 @@
                                eventloop::EventLoop &Loop, KeyedStore &Store,
                                StreamListener &Listener)
     : Settings(std::move(Settings)), Loop(Loop), Store(Store),
-      Listener(Listener), Pause(kFirstPause) {}
+      Listener(Listener), RetryPause(kFirstPause) {}
 
 void StreamFollower::start() { readNewest(); }
 
@@ -50,12 +50,31 @@
 }
 
 void StreamFollower::readOn() {
-  Store.read(Settings.Stream, Position, Settings.Wait,
+  Pausing = 0;
+  Store.read(Settings.Stream, Position, Settings.Pace.Wait,
              [this, Current = ++Round](const StoreResult &Result) {
                onRead(Current, Result);
              });
 }
 
+void StreamFollower::pause() {
+  if (Settings.Pace.Pause <= base::Duration::zero())
+    return readOn();
+  Pausing = Round;
+  Loop.after(Settings.Pace.Pause, [this, Current = Round] {
+    if (Current == Pausing)
+      readOn();
+  });
+}
+
+void StreamFollower::setPace(const FollowerPace &New) {
+  if (New == Settings.Pace)
+    return;
+  Settings.Pace = New;
+  if (Pausing != 0 && New.Pause <= base::Duration::zero())
+    readOn();
+}
+
 void StreamFollower::expect(base::LogOffset Offset) {
   const base::BootTime Now = Loop.clock().now();
   if (!Synced || Offset <= Position || Now < ExtraReadAllowedAt)
@@ -72,24 +91,31 @@
     return retry(Result, true);
   Synced = true;
   take(Result.Page);
-  readOn();
+  pause();
 }
 
 void StreamFollower::onRead(std::uint64_t Current, const StoreResult &Result) {
-  if (Current != Round)
+  // A slow store answers a read after the next one has been sent.
+  if (Current != Round) {
+    if (Result.Status == StoreStatus::Done)
+      take(Result.Page);
     return;
+  }
   if (Result.Status == StoreStatus::Gone)
     return readNewest();
   if (Result.Status != StoreStatus::Done)
     return retry(Result, false);
   take(Result.Page);
-  readOn();
+  pause();
 }
 
 void StreamFollower::take(const KeyedPage &Page) {
   setReachable(true, "");
-  Pause = kFirstPause;
+  RetryPause = kFirstPause;
+  const base::LogOffset Seen = Position;
   for (const KeyedRecord &Each : Page.Records) {
+    if (Each.Offset <= Seen)
+      continue;
     Listener.onRecord(Each);
     Position = std::max(Position, Each.Offset);
   }
@@ -100,7 +126,7 @@
   setReachable(false, std::string(storeStatusName(Result.Status)) + ": " +
                           Result.Detail);
   const std::uint64_t Current = Round;
-  Loop.after(Pause, [this, Current, Newest] {
+  Loop.after(RetryPause, [this, Current, Newest] {
     if (Current != Round)
       return;
     if (Newest)
@@ -108,7 +134,7 @@
     else
       readOn();
   });
-  Pause = std::min(Pause * 2, kLongestPause);
+  RetryPause = std::min(RetryPause * 2, kLongestPause);
 }
 
 void StreamFollower::setReachable(bool New, const std::string &Detail) {
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -9,11 +9,21 @@
 
 namespace platformlog {
 
-struct FollowerSettings {
-  std::string Stream;
+/// How often a follower reads.
+struct FollowerPace {
   /// Longest wait of one read for news. It bounds the time for which a
   /// connection that went silent holds news back.
   base::Duration Wait = std::chrono::milliseconds(1200);
+  /// Time from the end of a read to the next one. A follower that pauses
+  /// relies on `StreamFollower::expect` to hear of news at once.
+  base::Duration Pause{};
+
+  friend bool operator==(const FollowerPace &, const FollowerPace &) = default;
+};
+
+struct FollowerSettings {
+  std::string Stream;
+  FollowerPace Pace;
 };
 
 /// What a follower learns.
@@ -45,14 +55,15 @@
   /// been seen, because another daemon has seen them.
   void expect(base::LogOffset Offset);
 
-  /// Changes the longest wait, from the next read on.
-  void setWait(base::Duration New) { Settings.Wait = New; }
+  /// Takes effect from the next read on; a pause ends if there is none now.
+  void setPace(const FollowerPace &New);
 
   base::LogOffset position() const { return Position; }
 
 private:
   void readNewest();
   void readOn();
+  void pause();
   void onNewest(std::uint64_t Round, const StoreResult &Result);
   void onRead(std::uint64_t Round, const StoreResult &Result);
   void take(const KeyedPage &Page);
@@ -66,7 +77,9 @@
   base::LogOffset Position;
   /// Calls of earlier rounds have been overtaken.
   std::uint64_t Round = 0;
-  base::Duration Pause;
+  base::Duration RetryPause;
+  /// Number of the pause that lasts now; 0 for none.
+  std::uint64_t Pausing = 0;
   base::BootTime ExtraReadAllowedAt;
   bool Reachable = false;
   bool EverReported = false;
--- /dev/null
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -0,0 +1,129 @@
+#include "platformlog/streamfollower.h"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Counts calls; the test answers reads.
+class CountingStore final : public platformlog::KeyedStore {
+public:
+  explicit CountingStore(eventloop::EventLoop &Loop) : Loop(Loop) {}
+
+  void newest(const std::string &, Callback Done) override {
+    ++Calls;
+    Loop.post([this, Done = std::move(Done)] { Done(after({})); });
+  }
+
+  void read(const std::string &, base::LogOffset After, base::Duration Wait,
+            Callback Done) override {
+    ++Calls;
+    if (Held) {
+      HeldReads.emplace_back(After, std::move(Done));
+      return;
+    }
+    if (Wait > 0ms && after(After).Page.Records.empty())
+      return;
+    Loop.post([this, After, Done = std::move(Done)] { Done(after(After)); });
+  }
+
+  void append(const std::string &, const platformlog::KeyedRecord &,
+              std::optional<base::LogOffset>, Callback) override {}
+
+  void put(const std::string &Key) {
+    Records.push_back({base::LogOffset(Records.size() + 1), Key, "value"});
+  }
+
+  platformlog::StoreResult after(base::LogOffset Offset) const {
+    platformlog::StoreResult Result;
+    Result.Status = platformlog::StoreStatus::Done;
+    for (const platformlog::KeyedRecord &Each : Records)
+      if (Each.Offset > Offset)
+        Result.Page.Records.push_back(Each);
+    return Result;
+  }
+
+  int Calls = 0;
+  bool Held = false;
+  std::vector<std::pair<base::LogOffset, Callback>> HeldReads;
+
+private:
+  eventloop::EventLoop &Loop;
+  std::vector<platformlog::KeyedRecord> Records;
+};
+
+struct Fixture final : platformlog::StreamListener {
+  void onRecord(const platformlog::KeyedRecord &Record) override {
+    Seen.push_back(Record.Key);
+  }
+  void onCaughtUp(base::LogOffset) override {}
+  void onStoreState(bool, const std::string &) override {}
+
+  void runFor(base::Duration Time) {
+    Loop.after(Time, [this] { Loop.stop(); });
+    Loop.run();
+  }
+
+  base::SystemClock Time;
+  eventloop::EventLoop Loop{Time};
+  CountingStore Store{Loop};
+  std::vector<std::string> Seen;
+};
+
+} // namespace
+
+// Load pattern: all daemons of a fleet announce themselves at once. Guards
+// against a read of each daemon for each announcement.
+TEST_CASE("a follower that pauses reads many records in one call") {
+  Fixture Test;
+  platformlog::StreamFollower Follower({"s", {0ms, 200ms}}, Test.Loop,
+                                       Test.Store, Test);
+  Follower.start();
+  Test.runFor(20ms);
+  for (int Count = 0; Count < 50; ++Count) {
+    Test.Store.put("member");
+    Test.runFor(1ms);
+  }
+  Test.runFor(250ms);
+  CHECK(Test.Seen.size() == 50);
+  CHECK(Test.Store.Calls <= 4);
+}
+
+// Guards against news that waits for the end of a pause.
+TEST_CASE("news of others end a pause") {
+  Fixture Test;
+  platformlog::StreamFollower Follower({"s", {0ms, 10s}}, Test.Loop, Test.Store,
+                                       Test);
+  Follower.start();
+  Test.runFor(20ms);
+  Test.Store.put("policy");
+  Follower.expect(base::LogOffset(1));
+  Test.runFor(20ms);
+  CHECK(Test.Seen == std::vector<std::string>{"policy"});
+  Test.Store.put("policy");
+  Follower.setPace({1s, 0ms});
+  Test.runFor(20ms);
+  CHECK(Test.Seen.size() == 2);
+}
+
+// Guards against a store that takes longer than the time between extra reads:
+// each of them would make the answer of the one before useless.
+TEST_CASE("the answer of a read that was overtaken counts once") {
+  Fixture Test;
+  platformlog::StreamFollower Follower({"s", {0ms, 10s}}, Test.Loop, Test.Store,
+                                       Test);
+  Follower.start();
+  Test.runFor(20ms);
+  Test.Store.Held = true;
+  Test.Store.put("policy");
+  Follower.expect(base::LogOffset(1));
+  Test.runFor(250ms);
+  Follower.expect(base::LogOffset(1));
+  REQUIRE(Test.Store.HeldReads.size() == 2);
+  for (const auto &[After, Done] : Test.Store.HeldReads)
+    Done(Test.Store.after(After));
+  CHECK(Test.Seen.size() == 1);
+}
--- a/src/ratelimit/dividedlimit.h
+++ b/src/ratelimit/dividedlimit.h
@@ -61,6 +61,10 @@
   std::uint32_t grant(const base::WorkspaceName &Workspace,
                       const RateAndBurst &Limit, std::uint32_t Wanted);
 
+  /// As keeper: takes back permits of requests that have not run.
+  void takeBack(const base::WorkspaceName &Workspace, const RateAndBurst &Limit,
+                std::uint32_t Count);
+
   /// Whether this daemon is the keeper now. A new keeper grants nothing for
   /// `kKeeperDelay`, until its predecessor has heard of it.
   void setKeeper(const base::WorkspaceName &Workspace, bool Keeper);
--- a/src/ratelimit/internal/dividedlimit.cpp
+++ b/src/ratelimit/internal/dividedlimit.cpp
@@ -105,6 +105,16 @@
   return Granted;
 }
 
+void DividedLimits::takeBack(const base::WorkspaceName &Workspace,
+                             const RateAndBurst &Limit, std::uint32_t Count) {
+  Usage &Known = Usages[Workspace];
+  if (!Known.Keeper || Time.now() < Known.GrantsFrom)
+    return;
+  const RateAndBurst Part = pooledPart(tolerated(Limit));
+  refill(Known.Pool, Part);
+  Known.Pool.Tokens = std::min(Part.Burst, Known.Pool.Tokens + Count);
+}
+
 void DividedLimits::setKeeper(const base::WorkspaceName &Workspace,
                               bool Keeper) {
   Usage &Known = Usages[Workspace];
--- a/src/ratelimit/tests/dividedlimittest.cpp
+++ b/src/ratelimit/tests/dividedlimittest.cpp
@@ -166,3 +166,28 @@
   for (int Count = 0; Count < 10'000; ++Count)
     REQUIRE(Daemon.take(kWorkspace, {}) == TakeVerdict::Admitted);
 }
+
+// Load pattern: services refuse half of what a workspace's limit allows, and
+// the permits go back after a short stay in a queue.
+TEST_CASE("the limit holds for what has run if permits are given back") {
+  const RateAndBurst Limit{100, 100};
+  Fleet Test(24);
+  std::vector<base::BootTime> Refused;
+  for (int Step = 0; Step < 20'000; ++Step) {
+    Test.Clock.advance(1ms);
+    const base::BootTime Now = Test.Clock.now();
+    if (Test.request(Test.Random() % 24, Limit) && Step % 2 == 0) {
+      Test.Times.pop_back();
+      Refused.push_back(Now);
+    }
+    std::erase_if(Refused, [&](base::BootTime Since) {
+      if (Now - Since < 150ms)
+        return false;
+      Test.Daemons[Test.Keeper]->takeBack(kWorkspace, Limit, 1);
+      return true;
+    });
+  }
+  CHECK(Test.busiestWindow() <= bound(Limit));
+  // All of the limit is used although half of the requests are refused.
+  CHECK(Test.Times.size() > 20 * Limit.Rate);
+}
--- a/src/relay/callsender.h
+++ b/src/relay/callsender.h
@@ -17,6 +17,10 @@
   execution::CallVerdict Verdict;
   /// Load that the serving daemon reported; negative if it did not.
   std::int32_t Load = -1;
+  /// Calls that it lets run at a time; 0 if it did not say.
+  std::uint32_t Slots = 0;
+  /// The call, or one that the backend server made for it, waited for a slot.
+  bool Congested = false;
   CallTimes Times;
 };
 
@@ -51,8 +55,8 @@
   struct Waiting {
     base::PeerAddress Peer;
     Callback Done;
-    std::int32_t Load = -1;
-    CallTimes Times;
+    /// Filled in by the response; the verdict follows.
+    CallEnding Ending;
   };
 
   void runActions();
--- a/src/relay/directory.h
+++ b/src/relay/directory.h
@@ -64,7 +64,8 @@
 
   const membership::GossipProtocol &gossip() const { return Gossip; }
 
-  /// Instances that are announced in the store, this one included; at least 1.
+  /// Instances that are announced in the store or heard of, this one included;
+  /// at least 1.
   std::size_t announcedCount() const;
 
   /// Whether a newer process of this instance runs.
@@ -72,7 +73,7 @@
 
 private:
   void onRecord(const platformlog::KeyedRecord &Record) override;
-  void onCaughtUp(base::LogOffset) override { CaughtUp = true; }
+  void onCaughtUp(base::LogOffset) override {}
   void onStoreState(bool Reachable, const std::string &Detail) override;
   void announce();
   void send(const std::vector<membership::Outgoing> &Datagrams);
@@ -87,8 +88,8 @@
   platformlog::StreamFollower Follower;
   std::set<std::string> Announced;
   base::Duration AnnouncePause;
+  base::BootTime StartedAt;
   bool Leaving = false;
-  bool CaughtUp = false;
 };
 
 } // namespace relay
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -4,7 +4,9 @@
 #include "config/fleetpolicy.h"
 #include "eventloop/eventloop.h"
 #include "http/asyncserver.h"
-#include "overload/successthrottle.h"
+#include "overload/entrythrottle.h"
+#include "overload/workspacedemand.h"
+#include "relay/callgraph.h"
 #include "relay/callsender.h"
 #include "relay/decisionlog.h"
 #include "relay/destinations.h"
@@ -37,7 +39,7 @@
 public:
   Entry(EntrySettings Settings, eventloop::EventLoop &Loop,
         base::MetricsRegistry &Metrics, DecisionLog &Log, CallSender &Calls,
-        Destinations &Choice, RateGate &Rates);
+        Destinations &Choice, RateGate &Rates, CallGraph &Graph);
 
   void adopt(config::FleetPolicyPtr New) { Policy = std::move(New); }
   const config::FleetPolicyPtr &policy() const { return Policy; }
@@ -71,6 +73,15 @@
     std::optional<base::RequestId> Call;
     routing::Choice Target;
     std::vector<base::ProcessId> Tried;
+    /// The call that the backend server makes this call for, if a caller did
+    /// not send the request.
+    std::optional<base::RequestId> Parent;
+    /// It counts in its workspace's limit.
+    bool Charged = false;
+    /// All targets were busy, so the call waits at one of them.
+    bool LastRound = false;
+    /// A call on the way waited for a slot.
+    bool Congested = false;
     /// It was let in, so its end says something about the route.
     bool Started = false;
     /// Attempts that reached a backend server.
@@ -88,10 +99,14 @@
 
   Identity identify(OpenRequest &Request);
   void onGateVerdict(http::ExchangeId Id, GateVerdict Verdict);
+  void adoptParent(OpenRequest &Request);
+  bool admitNew(OpenRequest &Request);
   void setDeadlines(OpenRequest &Request);
   const base::ServiceName &pickService(const config::HostRoute &Route);
   void prepareHeaders(OpenRequest &Request, const std::string &Key) const;
   void attempt(OpenRequest &Request);
+  base::Duration queueTime(const OpenRequest &Request,
+                           base::BootTime Now) const;
   void onCallEnded(http::ExchangeId Id, const CallEnding &Ending);
   bool mayTryAgain(OpenRequest &Request, const execution::CallVerdict &Verdict);
   void answerWith(OpenRequest &Request, const execution::Response &Answer,
@@ -105,7 +120,7 @@
   void logRequest(const char *Event, const OpenRequest &Request,
                   base::ErrorKind Kind, std::uint16_t Status) const;
   retry::RetryBudget &budgetOf(const base::ServiceName &Service);
-  overload::SuccessThrottle &throttleOf(const OpenRequest &Request);
+  overload::EntryThrottle &throttleOf(const OpenRequest &Request);
   void recordEnd(const OpenRequest &Request, bool Succeeded);
 
   const EntrySettings Settings;
@@ -115,12 +130,13 @@
   CallSender &Calls;
   Destinations &Choice;
   RateGate &Rates;
+  CallGraph &Graph;
+  overload::WorkspaceDemand Demand;
   config::FleetPolicyPtr Policy;
   std::unordered_map<http::ExchangeId, OpenRequest> Requests;
   std::unordered_map<base::ServiceName, retry::RetryBudget> Budgets;
   /// By route and rank, since workspaces may outrank the route.
-  std::map<std::pair<std::string, base::PriorityClass>,
-           overload::SuccessThrottle>
+  std::map<std::pair<std::string, base::PriorityClass>, overload::EntryThrottle>
       Throttles;
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
--- a/src/relay/internal/callsender.cpp
+++ b/src/relay/internal/callsender.cpp
@@ -19,7 +19,7 @@
   Spec.Idempotent = Message.Context.Idempotent;
   Message.Context.Identity = Tracker.open(Spec);
   const base::RequestId Id = Message.Context.Identity.Id;
-  Calls.emplace(Id, Waiting{Target.Peer, std::move(Done), -1, {}});
+  Calls.emplace(Id, Waiting{Target.Peer, std::move(Done), {}});
   const transport::ConnectionId Connection = Peers.connectionTo(Target.Peer);
   if (Tracker.sending(Id, execution::ConnectionId(Connection.value())) &&
       !Peers.send(Connection, makeFrame(FrameType::Call, Message))) {
@@ -37,8 +37,11 @@
 void CallSender::onAnswer(CallAnswerFrame Message) {
   const auto Found = Calls.find(Message.Id);
   if (Found != Calls.end()) {
-    Found->second.Load = static_cast<std::int32_t>(Message.Load);
-    Found->second.Times = Message.Times;
+    CallEnding &Ending = Found->second.Ending;
+    Ending.Load = static_cast<std::int32_t>(Message.Load);
+    Ending.Slots = Message.Slots;
+    Ending.Congested = Message.Congested;
+    Ending.Times = Message.Times;
   }
   Tracker.responseArrived(Message.Id, std::make_shared<execution::Response>(
                                           std::move(Message.Answer)));
@@ -71,9 +74,10 @@
 
 void CallSender::settle(execution::CallSettled &Settled) {
   auto Node = Calls.extract(Settled.Id);
-  if (Node)
-    Node.mapped().Done(
-        {std::move(Settled.Verdict), Node.mapped().Load, Node.mapped().Times});
+  if (!Node)
+    return;
+  Node.mapped().Ending.Verdict = std::move(Settled.Verdict);
+  Node.mapped().Done(std::move(Node.mapped().Ending));
 }
 
 void CallSender::sendFence(const execution::Fence &Fence) {
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -1,5 +1,6 @@
 #include "relay/daemon.h"
 
+#include "relay/callgraph.h"
 #include "relay/callsender.h"
 #include "relay/destinations.h"
 #include "relay/directory.h"
@@ -24,11 +25,12 @@
 
 /// Fine enough for fences, queue times and gossip; each tick costs a wake-up.
 constexpr base::Duration kTickInterval = 20ms;
-/// Longest wait of a read of the policy stream. One daemon in each data centre
-/// reads often, so that a connection that went silent delays news by little;
-/// the others hear of it by gossip then.
-constexpr base::Duration kReaderWait = 1200ms;
-constexpr base::Duration kOthersWait = 8s;
+/// One daemon in each data centre waits for news of the policy stream, for a
+/// short time in each read, so that a connection that went silent delays news
+/// by little. The others hear of news by gossip and read then; their own reads
+/// are for the case that gossip fails.
+constexpr platformlog::FollowerPace kReaderPace{1200ms, 0s};
+constexpr platformlog::FollowerPace kOthersPace{0s, 4s};
 /// Pause before the start is tried again, as after a port that is in use.
 constexpr base::Duration kRestartPause = 500ms;
 /// Caller's way back before this daemon serves: soon, since a start takes well
@@ -46,7 +48,8 @@
       : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
         Store(Store), Reader(Reader), Inbox(Loop, *this),
         Secret(Loop, Store, Log, this->Settings.Instance),
-        PolicyFollower({this->Settings.PolicyStream}, Loop, Store, *this) {}
+        PolicyFollower({this->Settings.PolicyStream, kReaderPace}, Loop, Store,
+                       *this) {}
 
   ~Parts() override {
     Loop.cancel(Ticker);
@@ -102,6 +105,7 @@
   std::unique_ptr<Directory> Members;
   std::unique_ptr<Destinations> Choice;
   std::unique_ptr<CallSender> Calls;
+  std::unique_ptr<CallGraph> Graph;
   std::unique_ptr<Serving> Server;
   std::unique_ptr<RateKeeper> Rates;
   std::unique_ptr<Entry> Requests;
@@ -145,9 +149,10 @@
   Choice = std::make_unique<Destinations>(
       Time, routing::Topology{Settings.DataCentre, Settings.Region});
   Calls = std::make_unique<CallSender>(Time, Self, *Peers);
+  Graph = std::make_unique<CallGraph>();
   Server = std::make_unique<Serving>(
       ServingSettings{Self, Settings.Headers, Settings.ServerUrl}, Loop,
-      Metrics, Log, *Peers, EarlyReports);
+      Metrics, Log, *Peers, *Graph, EarlyReports);
   Rates = std::make_unique<RateKeeper>(
       Loop, Metrics, Log, *Peers, Settings.Instance, Settings.Tolerance,
       Settings.FirstStart,
@@ -157,7 +162,7 @@
   Front.Service = Settings.Service;
   Front.RetryPercent = Settings.RetryPercent;
   Requests = std::make_unique<Entry>(std::move(Front), Loop, Metrics, Log,
-                                     *Calls, *Choice, *Rates);
+                                     *Calls, *Choice, *Rates, *Graph);
   membership::GossipSettings Gossip;
   Gossip.Self.Instance = Settings.Instance;
   Gossip.Self.Epoch = Self.Epoch;
@@ -182,7 +187,7 @@
   Server->tick();
   Members->tick();
   PolicyFollower.expect(Members->highestConfigurationOffset());
-  PolicyFollower.setWait(Members->isReader() ? kReaderWait : kOthersWait);
+  PolicyFollower.setPace(Members->isReader() ? kReaderPace : kOthersPace);
   Requests->setRetryFloor(Settings.RetryFloor / Members->announcedCount());
   Rates->setDaemons(Members->announcedCount());
 }
@@ -228,6 +233,10 @@
     if (const auto Message = base::decode<PermitGrant>(Received.Body))
       return Rates->onPermitGrant(*Message);
     return Malformed();
+  case FrameType::PermitReturn:
+    if (const auto Message = base::decode<PermitReturn>(Received.Body))
+      return Rates->onPermitReturn(*Message);
+    return Malformed();
   }
   Metrics.counter("peer_messages_unknown_total").add();
 }
--- a/src/relay/internal/destinations.cpp
+++ b/src/relay/internal/destinations.cpp
@@ -77,6 +77,7 @@
   routing::CallReport Report;
   Report.Result = resultOf(Ending.Verdict);
   Report.Load = Ending.Load;
+  Report.Slots = Ending.Slots;
   Report.ResponseBytes =
       Ending.Verdict.Answer ? Ending.Verdict.Answer->size() : 0;
   Router.finish(Target, Report, Time.now());
--- a/src/relay/internal/directory.cpp
+++ b/src/relay/internal/directory.cpp
@@ -14,8 +14,12 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view kAnnouncementPrefix = "member/";
-/// Announcements are rare; gossip carries everything urgent.
-constexpr base::Duration kAnnouncementWait = 15s;
+/// Announcements introduce new daemons; gossip carries everything urgent. Reads
+/// that do not wait are not woken by each announcement of a fleet that starts.
+constexpr base::Duration kAnnouncementPause = 8s;
+/// Until all daemons of a fleet that starts together have been announced.
+constexpr base::Duration kFirstAnnouncementPause = 1s;
+constexpr base::Duration kFirstAnnouncementTime = 4s;
 constexpr base::Duration kFirstAnnouncePause = 100ms;
 constexpr base::Duration kLongestAnnouncePause = 2s;
 
@@ -31,13 +35,15 @@
                      platformlog::KeyedStore &Store, ChangeListener OnChange)
     : Loop(Loop), Log(Log), Peers(Peers), Store(Store),
       OnChange(std::move(OnChange)), Gossip(Settings, Loop.clock().now()),
-      Follower({kFleetStream, kAnnouncementWait}, Loop, Store, *this),
+      Follower({kFleetStream, {0s, kFirstAnnouncementPause}}, Loop, Store,
+               *this),
       AnnouncePause(kFirstAnnouncePause) {}
 
 void Directory::start() {
   noteChanges();
   announce();
   Follower.start();
+  StartedAt = Loop.clock().now();
 }
 
 void Directory::announce() {
@@ -78,6 +84,8 @@
 }
 
 void Directory::tick() {
+  if (Loop.clock().now() - StartedAt >= kFirstAnnouncementTime)
+    Follower.setPace({0s, kAnnouncementPause});
   send(Gossip.tick(Loop.clock().now()));
   noteChanges();
 }
@@ -115,7 +123,12 @@
 }
 
 std::size_t Directory::announcedCount() const {
-  return std::max<std::size_t>(Announced.size(), 1);
+  const auto &Heard = Gossip.members().entries();
+  const auto Alive = static_cast<std::size_t>(std::count_if(
+      Heard.begin(), Heard.end(), [](const membership::MemberEntry &Each) {
+        return Each.Record.State == membership::MemberState::Alive;
+      }));
+  return std::max<std::size_t>({Announced.size(), Alive, 1});
 }
 
 void Directory::onRecord(const platformlog::KeyedRecord &Record) {
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -1,9 +1,11 @@
 #include "relay/entry.h"
 
+#include "overload/level.h"
+#include "overload/requestvalue.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -20,13 +22,12 @@
 /// that comes later leaves the caller too little time for another try.
 constexpr int kQueueShare = 8;
 constexpr base::Duration kMinQueueTime = 20ms;
-/// The same for a call of a request that is under way, as a share of the time
-/// left: refusing it wastes the work done so far.
-constexpr int kInnerQueueShare = 2;
-/// New requests are throttled while fewer than one in this many succeeds, by
-/// priority class: the less urgent a class, the sooner it is turned away.
-constexpr std::array<double, base::kPriorityClassCount> kThrottleTolerance{
-    2.0, 1.6, 1.3};
+/// A call of a request that is under way waits this long at one backend server
+/// while others may have a free slot: about a round trip between regions.
+constexpr base::Duration kInnerQueueTime = 40ms;
+/// Its last wait, as a share of the time left: refusing it wastes the work
+/// done so far.
+constexpr int kLastInnerQueueShare = 2;
 /// Daemons that are asked for one request before it is refused.
 constexpr std::size_t kMaxTargets = 4;
 /// Bounds of the share of the caller's remaining time after which it may come
@@ -79,10 +80,11 @@
 
 Entry::Entry(EntrySettings Settings, eventloop::EventLoop &Loop,
              base::MetricsRegistry &Metrics, DecisionLog &Log,
-             CallSender &Calls, Destinations &Choice, RateGate &Rates)
+             CallSender &Calls, Destinations &Choice, RateGate &Rates,
+             CallGraph &Graph)
     : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
-      Calls(Calls), Choice(Choice), Rates(Rates),
-      Random(std::random_device()()) {}
+      Calls(Calls), Choice(Choice), Rates(Rates), Graph(Graph),
+      Demand(Loop.clock()), Random(std::random_device()()) {}
 
 void Entry::onRequest(http::AsyncServer &Server, http::ExchangeId Id,
                       http::Request Received) {
@@ -111,8 +113,12 @@
   Context.Idempotent = Request.Route->Idempotent;
   Request.Timer = Loop.after(Request.Deadline - Request.ArrivedAt,
                              [this, Id] { onDeadline(Id); });
+  // What the services can't take must not use up the workspace's limit.
+  if (!Request.Message.Inner && !admitNew(Request))
+    return refuse(Request, base::ErrorKind::Overloaded);
   if (Caller.Workspace == nullptr)
     return onGateVerdict(Id, GateVerdict::Admitted);
+  Request.Charged = true;
   Rates.admit(*Caller.Workspace,
               [this, Id](GateVerdict Verdict) { onGateVerdict(Id, Verdict); });
 }
@@ -122,32 +128,45 @@
   if (Found == Requests.end())
     return;
   OpenRequest &Request = Found->second;
-  if (Verdict == GateVerdict::RateExceeded)
-    return refuse(Request, base::ErrorKind::RateExceeded);
-  if (Verdict == GateVerdict::Unavailable)
-    return refuse(Request, base::ErrorKind::LimitUnavailable);
-  if (!Request.Message.Inner &&
-      !throttleOf(Request).admits(
-          std::uniform_real_distribution<double>(0, 1)(Random)))
-    return refuse(Request, base::ErrorKind::Overloaded);
+  if (Verdict != GateVerdict::Admitted) {
+    Request.Charged = false;
+    return refuse(Request, Verdict == GateVerdict::RateExceeded
+                               ? base::ErrorKind::RateExceeded
+                               : base::ErrorKind::LimitUnavailable);
+  }
   Request.Started = true;
   budgetOf(Request.Message.Context.Service)
       .recordFirstAttempt(Request.ArrivedAt);
   attempt(Request);
 }
 
-overload::SuccessThrottle &Entry::throttleOf(const OpenRequest &Request) {
+/// Whether the daemons on the way can take another request of this urgency.
+bool Entry::admitNew(OpenRequest &Request) {
+  execution::RequestScope &Scope = Request.Message.Context.Scope;
+  Scope.Root = base::makeRandomId<base::RootId>();
+  const std::uint8_t Value =
+      overload::requestValue(Scope.Root, Scope.Workspace,
+                             overload::valuePeriod(Loop.clock().wallNow()));
+  Scope.AdmissionValue =
+      Demand.correctedValue(Scope.Workspace, Scope.Priority, Value);
+  if (throttleOf(Request).admits(double(Scope.AdmissionValue) /
+                                 overload::kValueCount))
+    return true;
+  Metrics.counter("requests_throttled_total").add();
+  return false;
+}
+
+overload::EntryThrottle &Entry::throttleOf(const OpenRequest &Request) {
   const base::PriorityClass Class = Request.Message.Context.Scope.Priority;
   return Throttles
-      .try_emplace({Request.Route->Name, Class}, Loop.clock(),
-                   kThrottleTolerance[static_cast<std::size_t>(Class)])
+      .try_emplace({Request.Route->Name, Class}, Loop.clock(), Class)
       .first->second;
 }
 
 /// Tells the throttle how a request ended that was let in.
 void Entry::recordEnd(const OpenRequest &Request, bool Succeeded) {
   if (Request.Started && !Request.Message.Inner)
-    throttleOf(Request).ended(Request.ArrivedAt, Succeeded);
+    throttleOf(Request).ended(Succeeded, Request.Congested);
 }
 
 /// Reads how long the caller waits; the route bounds it once it is known.
@@ -183,11 +202,9 @@
       Key.empty() ? nullptr
                   : Request.Policy->workspaceByKey(config::digestKey(Key));
   prepareHeaders(Request, Key);
-  // Only the backend server beside this daemon sends requests without a key.
-  Request.Message.Inner = !Credentials;
   if (Workspace == nullptr) {
-    if (Request.Message.Inner)
-      Scope.Priority = base::PriorityClass::Critical;
+    if (!Credentials)
+      adoptParent(Request);
     if (Route.OpenToAll || !Request.Policy->usesKeys())
       return {};
     return {Credentials ? base::ErrorKind::KeyUnknown
@@ -202,6 +219,17 @@
   return {std::nullopt, Workspace};
 }
 
+/// A request without a key that belongs to the backend server's work is a call
+/// of its own and has the urgency of that work.
+void Entry::adoptParent(OpenRequest &Request) {
+  const auto Parent = Graph.workFor(Request.CallerDeadline);
+  if (!Parent)
+    return;
+  Request.Message.Context.Scope = Parent->Scope;
+  Request.Message.Inner = true;
+  Request.Parent = Parent->Call;
+}
+
 /// Removes what concerns one connection, what only this layer may say, and
 /// every header that holds the key.
 void Entry::prepareHeaders(OpenRequest &Request, const std::string &Key) const {
@@ -250,20 +278,22 @@
   const base::BootTime Now = Loop.clock().now();
   execution::CallContext &Context = Request.Message.Context;
   const http::Request &Sent = Request.Message.Request;
-  const auto Target = Choice.choose(
-      Context.Service, {Request.Deadline, Request.Tried, Sent.Body.size()});
+  std::optional<routing::Choice> Target;
+  if (!Request.LastRound)
+    Target = Choice.choose(Context.Service,
+                           {Request.Deadline, Request.Tried, Sent.Body.size()});
+  if (!Target && Request.Message.Inner &&
+      Request.LastError == base::ErrorKind::Overloaded) {
+    // All are busy: the call waits its turn at one that it has left before.
+    Request.LastRound = true;
+    Target = Choice.choose(Context.Service,
+                           {Request.Deadline, {}, Sent.Body.size()});
+  }
   if (!Target)
     return refuse(Request,
                   Request.LastError.value_or(base::ErrorKind::NoUpstream));
-  const base::Duration Left = Request.Deadline - Now;
-  const base::Duration QueueTime =
-      Request.Message.Inner
-          ? Left / kInnerQueueShare
-          : std::max<base::Duration>(kMinQueueTime,
-                                     Request.Route->Objective / kQueueShare -
-                                         (Now - Request.ArrivedAt));
-  Context.TimeLeftMicros = microseconds(Left);
-  Request.Message.QueueTimeMicros = microseconds(QueueTime);
+  Context.TimeLeftMicros = microseconds(Request.Deadline - Now);
+  Request.Message.QueueTimeMicros = microseconds(queueTime(Request, Now));
   Request.Target = *Target;
   Request.Tried.push_back(Target->Process);
   Request.Call =
@@ -273,6 +303,18 @@
                  });
 }
 
+/// How long the next call may wait in a queue.
+base::Duration Entry::queueTime(const OpenRequest &Request,
+                                base::BootTime Now) const {
+  if (!Request.Message.Inner)
+    return std::max<base::Duration>(kMinQueueTime,
+                                    Request.Route->Objective / kQueueShare -
+                                        (Now - Request.ArrivedAt));
+  if (Request.LastRound)
+    return (Request.Deadline - Now) / kLastInnerQueueShare;
+  return kInnerQueueTime;
+}
+
 void Entry::onCallEnded(http::ExchangeId Id, const CallEnding &Ending) {
   const auto Found = Requests.find(Id);
   if (Found == Requests.end())
@@ -280,6 +322,9 @@
   OpenRequest &Request = Found->second;
   const execution::CallVerdict &Verdict = Ending.Verdict;
   Choice.finished(Request.Target, Ending);
+  Request.Congested |= Ending.Congested;
+  if (Request.Parent && Ending.Congested)
+    Graph.noteCongestion(*Request.Parent);
   Request.Call.reset();
   const execution::ResponsePtr &Answer = Verdict.Answer;
   if (Verdict.What != base::Outcome::NotRun ||
@@ -297,9 +342,14 @@
 bool Entry::mayTryAgain(OpenRequest &Request,
                         const execution::CallVerdict &Verdict) {
   const base::BootTime Now = Loop.clock().now();
-  if (!Verdict.MayRetry || Request.Tried.size() >= kMaxTargets ||
-      Now >= Request.Deadline || Verdict.Error == base::ErrorKind::Cancelled)
+  if (!Verdict.MayRetry || Request.LastRound || Now >= Request.Deadline ||
+      Verdict.Error == base::ErrorKind::Cancelled)
     return false;
+  if (Request.Tried.size() >= kMaxTargets) {
+    Request.LastRound = Request.Message.Inner && Request.Arrivals == 0 &&
+                        Verdict.Error == base::ErrorKind::Overloaded;
+    return Request.LastRound;
+  }
   if (Request.Arrivals == 0)
     return true;
   if (Request.Arrivals >= std::max(Request.Route->Attempts, 1U))
@@ -320,20 +370,22 @@
   if (Late)
     Metrics.counter("requests_late_total").add();
   if (Late || Answer.Status >= kFirstServerError)
-    Log.request(Late ? "request_late" : "request_failed",
-                {{"request", Request.AttemptId},
-                 {"status", Answer.Status},
-                 {"route", Request.Route->Name},
-                 {"service", Request.Message.Context.Service.str()},
-                 {"workspace", Request.Message.Context.Scope.Workspace.str()},
-                 {"inner", Request.Message.Inner},
-                 {"policy", Request.Policy->version().value()},
-                 {"served_by", Request.Target.Process.Instance.str()},
-                 {"tried", Request.Tried.size()},
-                 {"age_ms", milliseconds(Age)},
-                 {"objective_ms", milliseconds(Request.Route->Objective)},
-                 {"queue_ms", Times.QueueMicros / 1000},
-                 {"server_ms", Times.ServerMicros / 1000}});
+    Log.request(
+        Late ? "request_late" : "request_failed",
+        {{"request", Request.AttemptId},
+         {"status", Answer.Status},
+         {"route", Request.Route->Name},
+         {"service", Request.Message.Context.Service.str()},
+         {"workspace", Request.Message.Context.Scope.Workspace.str()},
+         {"inner", Request.Message.Inner},
+         {"parent", Request.Parent ? base::toHex(Request.Parent->Bytes) : ""},
+         {"policy", Request.Policy->version().value()},
+         {"served_by", Request.Target.Process.Instance.str()},
+         {"tried", Request.Tried.size()},
+         {"age_ms", milliseconds(Age)},
+         {"objective_ms", milliseconds(Request.Route->Objective)},
+         {"queue_ms", Times.QueueMicros / 1000},
+         {"server_ms", Times.ServerMicros / 1000}});
   http::Response Final;
   Final.Status = Answer.Status;
   Final.Body = Answer.Body;
@@ -387,6 +439,8 @@
 void Entry::refuse(OpenRequest &Request, base::ErrorKind Kind) {
   const std::uint16_t Status = statusOf(Kind, Request.Overall);
   recordEnd(Request, false);
+  if (Request.Charged && Request.Overall == base::Outcome::NotRun)
+    Rates.giveBack(Request.Message.Context.Scope.Workspace);
   Metrics
       .counter("requests_refused_total{kind=\"" +
                std::string(base::answerFor(Kind).Name) + "\",status=\"" +
@@ -450,6 +504,7 @@
        {"service", Context.Service.str()},
        {"workspace", Context.Scope.Workspace.str()},
        {"inner", Request.Message.Inner},
+       {"parent", Request.Parent ? base::toHex(Request.Parent->Bytes) : ""},
        {"policy", Request.Policy ? Request.Policy->version().value() : 0},
        {"tried", Tried},
        {"arrivals", Request.Arrivals},
--- a/src/relay/internal/ratekeeper.cpp
+++ b/src/relay/internal/ratekeeper.cpp
@@ -16,8 +16,10 @@
 /// Covers a round trip between regions and a short stall of the keeper.
 constexpr base::Duration kPermitTimeout = 200ms;
 /// Permits beyond those that requests wait for, so that a busy workspace does
-/// not ask for each request.
+/// not ask for each request. Only a workspace that asked a short while ago gets
+/// them; otherwise they would lapse and be lost to the other daemons.
 constexpr std::uint32_t kSparePermits = 1;
+constexpr base::Duration kBusyInterval = ratelimit::kPermitLife / 3;
 
 std::uint64_t score(const base::WorkspaceName &Workspace,
                     const base::InstanceId &Instance) {
@@ -113,8 +115,11 @@
 
 void RateKeeper::ask(const base::WorkspaceName &Workspace, Asking &Current) {
   Current.Number = ++LastNumber;
-  Current.Wanted =
-      static_cast<std::uint32_t>(Current.Waiting.size()) + kSparePermits;
+  const base::BootTime Now = Loop.clock().now();
+  const bool Busy = Now - Current.AskedAt < kBusyInterval;
+  Current.AskedAt = Now;
+  Current.Wanted = static_cast<std::uint32_t>(Current.Waiting.size()) +
+                   (Busy ? kSparePermits : 0);
   ByNumber.emplace(Current.Number, Workspace);
   Current.Timer =
       Loop.after(kPermitTimeout, [this, Name = base::WorkspaceName(Workspace)] {
@@ -165,6 +170,20 @@
          GateVerdict::RateExceeded);
 }
 
+void RateKeeper::giveBack(const base::WorkspaceName &Workspace) {
+  const Member *Keeper = keeperOf(Workspace);
+  if (Keeper != nullptr)
+    Peers.send(Peers.connectionTo(Keeper->Peer),
+               makeFrame(FrameType::PermitReturn, PermitReturn{Workspace, 1}));
+}
+
+void RateKeeper::onPermitReturn(const PermitReturn &Returned) {
+  if (Policy)
+    for (const config::WorkspacePolicy &Each : Policy->content().Workspaces)
+      if (Each.Name == Returned.Workspace)
+        Limits.takeBack(Each.Name, limitOf(Each), Returned.Count);
+}
+
 /// Admits as many waiting requests as there are permits. Those that came after
 /// the question was sent ask again, unless the keeper had too few.
 void RateKeeper::settle(const base::WorkspaceName &Workspace,
--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -25,6 +25,9 @@
 /// The entry daemon bounds each call's wait; this is a backstop.
 constexpr base::Duration kLongestQueueTime = 10s;
 constexpr std::size_t kQueueLength = 512;
+/// A wait for a slot that counts as congestion: longer than the gaps between
+/// requests of a server that keeps up.
+constexpr base::Duration kCongestedWait = 20ms;
 constexpr std::uint16_t kMisdirected = 421;
 constexpr std::uint16_t kFirstSuccess = 200;
 constexpr std::uint16_t kFirstRedirect = 300;
@@ -71,9 +74,10 @@
 
 Serving::Serving(ServingSettings Settings, eventloop::EventLoop &Loop,
                  base::MetricsRegistry &Metrics, DecisionLog &Log,
-                 transport::PeerTransport &Peers, const LocalServer &Known)
+                 transport::PeerTransport &Peers, CallGraph &Graph,
+                 const LocalServer &Known)
     : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
-      Peers(Peers), Client(Loop), Server(Known),
+      Peers(Peers), Graph(Graph), Client(Loop), Server(Known),
       Executions(Loop.clock(), this->Settings.Self),
       Queue(Loop.clock(), {kQueueLength, kLongestQueueTime}),
       Limit(std::make_unique<overload::FixedLimit>(
@@ -135,7 +139,8 @@
   case execution::AdmitVerdict::Refused:
     return answer(From, Id,
                   execution::errorResponse(base::ErrorKind::Overloaded,
-                                           base::Outcome::NotRun));
+                                           base::Outcome::NotRun),
+                  true);
   case execution::AdmitVerdict::Discarded:
     Metrics.counter("calls_discarded_total").add();
     return;
@@ -144,12 +149,13 @@
   overload::QueueEntry Entry;
   Entry.Id = Id;
   Entry.Workspace = Context.Scope.Workspace;
-  Entry.Class = Context.Scope.Priority;
+  // Calls of work that is already under way run before new work.
+  Entry.Class =
+      Message.Inner ? base::PriorityClass::Critical : Context.Scope.Priority;
   Entry.Deadline =
       std::min(execution::deadlineOf(Context, Now),
                Now + std::chrono::microseconds(std::min<std::uint64_t>(
                          Message.QueueTimeMicros, 3'600'000'000ULL)));
-  // Calls of work that is already under way run before new work.
   Entry.WaitedBefore = Message.Inner ? 1s : 0s;
   Queued.emplace(Id, QueuedCall{std::move(Message), Now});
   if (!Server.available())
@@ -259,6 +265,7 @@
         return !Echo || *Echo == Attempt;
       };
   Limit->callStarted();
+  Graph.started(Id, Now + Left, Call.Message.Context.Scope);
   Started.Transfer = Client.start(Settings.ServerUrl, Sent, Options,
                                   [this, Id](http::ExchangeResult Result) {
                                     onExchangeEnded(Id, std::move(Result));
@@ -343,13 +350,16 @@
   const CallTimes Times{microseconds(Found->second.Queued),
                         microseconds(Worked)};
   Limit->callEnded(End, Worked);
+  const bool Congested = Graph.ended(Id) ||
+                         Found->second.Queued > kCongestedWait ||
+                         Answer.Error == base::ErrorKind::Overloaded;
   Running.erase(Found);
   Metrics.counter("calls_run_total").add();
   const auto ReplyTo = Executions.replyTo(Id);
   Executions.finish(Id, std::make_shared<execution::Response>(Answer));
   if (ReplyTo)
     answer(transport::ConnectionId(ReplyTo->value()), Id, std::move(Answer),
-           Times);
+           Congested, Times);
   pump();
 }
 
@@ -369,16 +379,20 @@
       .add();
   if (ReplyTo)
     answer(transport::ConnectionId(ReplyTo->value()), Id,
-           execution::errorResponse(Kind, base::Outcome::NotRun));
+           execution::errorResponse(Kind, base::Outcome::NotRun),
+           Kind == base::ErrorKind::Overloaded);
 }
 
 void Serving::answer(transport::ConnectionId To, const base::RequestId &Id,
-                     execution::Response Answer, const CallTimes &Times) {
+                     execution::Response Answer, bool Congested,
+                     const CallTimes &Times) {
   CallAnswerFrame Message;
   Message.Times = Times;
   Message.Id = Id;
   Message.Answer = std::move(Answer);
   Message.Load = static_cast<std::uint32_t>(openCalls());
+  Message.Slots = Limit->limit();
+  Message.Congested = Congested;
   Peers.send(To, makeFrame(FrameType::CallAnswer, Message));
 }
 
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -22,6 +22,7 @@
   FenceReply,
   PermitRequest,
   PermitGrant,
+  PermitReturn,
 };
 
 /// A request on its way from the entry daemon to the serving daemon.
@@ -54,10 +55,14 @@
   execution::Response Answer;
   /// Calls queued and running at the serving daemon.
   std::uint32_t Load = 0;
+  /// Calls that it lets run at a time.
+  std::uint32_t Slots = 0;
+  /// The call, or one that the backend server made for it, waited for a slot.
+  bool Congested = false;
   CallTimes Times;
 
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Id, Answer, Load, Times);
+    Ar(Id, Answer, Load, Slots, Congested, Times);
   }
 };
 
--- a/src/relay/rategate.h
+++ b/src/relay/rategate.h
@@ -27,6 +27,9 @@
   /// this call or later.
   virtual void admit(const config::WorkspacePolicy &Workspace,
                      Callback Done) = 0;
+
+  /// A request that was admitted has not run and does not count.
+  virtual void giveBack(const base::WorkspaceName &Workspace) = 0;
 };
 
 } // namespace relay
--- a/src/relay/ratekeeper.h
+++ b/src/relay/ratekeeper.h
@@ -34,6 +34,14 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Number, Granted); }
 };
 
+/// Returns permits of requests that have not run to the keeper.
+struct PermitReturn {
+  base::WorkspaceName Workspace;
+  std::uint32_t Count = 0;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Workspace, Count); }
+};
+
 /// Holds the workspaces' limits over the whole fleet. Admits from this daemon's
 /// own share, and asks the keeper of the workspace's limit when that is used
 /// up; a rendezvous hash over the members chooses the keepers. Daemons that
@@ -50,6 +58,8 @@
 
   void admit(const config::WorkspacePolicy &Workspace, Callback Done) override;
 
+  void giveBack(const base::WorkspaceName &Workspace) override;
+
   /// Takes over the limits of the policy in force.
   void adopt(config::FleetPolicyPtr New);
 
@@ -60,6 +70,7 @@
   void onPermitRequest(transport::ConnectionId From,
                        const PermitRequest &Request);
   void onPermitGrant(const PermitGrant &Grant);
+  void onPermitReturn(const PermitReturn &Returned);
 
 private:
   struct Member {
@@ -74,6 +85,7 @@
     eventloop::TimerId Timer;
     /// The keeper that was asked, if there was one.
     base::ProcessId Asked;
+    base::BootTime AskedAt;
     /// An earlier keeper has not answered these requests.
     bool Repeated = false;
   };
--- a/src/relay/serving.h
+++ b/src/relay/serving.h
@@ -6,6 +6,7 @@
 #include "http/asyncclient.h"
 #include "overload/concurrencylimit.h"
 #include "overload/fairqueue.h"
+#include "relay/callgraph.h"
 #include "relay/decisionlog.h"
 #include "relay/localserver.h"
 #include "relay/messages.h"
@@ -32,7 +33,8 @@
   /// `Known` is what the backend server has said so far.
   Serving(ServingSettings Settings, eventloop::EventLoop &Loop,
           base::MetricsRegistry &Metrics, DecisionLog &Log,
-          transport::PeerTransport &Peers, const LocalServer &Known);
+          transport::PeerTransport &Peers, CallGraph &Graph,
+          const LocalServer &Known);
 
   /// Takes in a report of the backend server.
   ReportVerdict report(const ServerReport &Received);
@@ -79,7 +81,8 @@
               overload::CallEnd End);
   void refuse(const base::RequestId &Id, base::ErrorKind Kind, const char *Why);
   void answer(transport::ConnectionId To, const base::RequestId &Id,
-              execution::Response Answer, const CallTimes &Times = {});
+              execution::Response Answer, bool Congested,
+              const CallTimes &Times = {});
   void logCall(const char *Event, const CallFrame &Message, const char *Why,
                const std::string &Detail) const;
 
@@ -88,6 +91,7 @@
   base::MetricsRegistry &Metrics;
   DecisionLog &Log;
   transport::PeerTransport &Peers;
+  CallGraph &Graph;
   http::AsyncClient Client;
   LocalServer Server;
   execution::ExecutionTable Executions;
--- a/src/relay/tests/ratekeepertest.cpp
+++ b/src/relay/tests/ratekeepertest.cpp
@@ -136,3 +136,37 @@
   Test.admit();
   CHECK(Test.Peers.Sent.size() == 1);
 }
+
+// Load pattern: a workspace's callers are spread over a large fleet, so that
+// each daemon sees few of them. Guards against permits that lapse unused, which
+// refused half of what the limits of foldhost-guj-grown allow.
+TEST_CASE("a workspace that is rare here asks for what it needs only") {
+  Fixture Test;
+  const auto Wanted = [&] {
+    return base::decode<relay::PermitRequest>(
+               Test.Peers.Sent.begin()->second.back().Body)
+        ->Wanted;
+  };
+  Test.admit();
+  CHECK(Wanted() == 1);
+  Test.Keeper.onPermitGrant({1, 1});
+  Test.runFor(150ms);
+  Test.admit();
+  CHECK(Wanted() == 1);
+  Test.Keeper.onPermitGrant({2, 1});
+  Test.admit();
+  CHECK(Wanted() == 2);
+}
+
+// Load pattern: services refuse for lack of capacity what their workspaces'
+// limits allow. Guards against refused requests that use up a limit.
+TEST_CASE("the permit of a request that has not run goes back to the keeper") {
+  Fixture Test;
+  Test.Keeper.giveBack(base::WorkspaceName("w"));
+  REQUIRE(Test.Peers.Sent.size() == 1);
+  const auto Returned = base::decode<relay::PermitReturn>(
+      Test.Peers.Sent.begin()->second.back().Body);
+  REQUIRE(Returned);
+  CHECK(Returned->Workspace.str() == "w");
+  CHECK(Returned->Count == 1);
+}
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -27,14 +27,42 @@
          Context.Excluded.end();
 }
 
+// Share of the slots that may be taken before calls go farther; some backend
+// servers turn slow when they are nearly full.
+constexpr double kComfortableOccupancy = 0.8;
+
+// Occupancy beyond the comfortable one at which the next distance is worth its
+// way: a round trip within a region takes little, one between regions takes as
+// long as a short queue.
+constexpr std::array<double, kLocalityCount> kDistanceCost{0, 0.05, 0.35};
+
+// Load in the last response, which counts less the older it is.
+double reportedLoad(const Upstream &Item, base::BootTime Now) {
+  const base::Duration Age = Now - Item.ReportedAt;
+  if (Item.ReportedLoad == 0 || Age >= kLoadLifetime)
+    return 0;
+  return Item.ReportedLoad *
+         (1 - double(Age.count()) / double(kLoadLifetime.count()));
+}
+
 // Load per slot: own calls in flight plus what the last response reported.
 double loadOf(const Upstream &Item, base::BootTime Now) {
-  const base::Duration Age = Now - Item.ReportedAt;
-  double Reported = 0;
-  if (Item.ReportedLoad > 0 && Age < kLoadLifetime)
-    Reported = Item.ReportedLoad *
-               (1 - double(Age.count()) / double(kLoadLifetime.count()));
-  return (Item.InFlight + Reported) / Item.Slots;
+  return (Item.InFlight + reportedLoad(Item, Now)) /
+         std::max<std::uint32_t>(Item.Slots, 1);
+}
+
+// Calls per slot. Own calls are part of the reported load, so the larger of the
+// two is the better guess. Zero if the slots are not known.
+double occupancyOf(const Upstream &Item, base::BootTime Now) {
+  if (Item.Slots == 0)
+    return 0;
+  return std::max<double>(Item.InFlight, reportedLoad(Item, Now)) / Item.Slots;
+}
+
+// What a call to the upstream costs, in units of its slots.
+double costOf(const Upstream &Item, base::BootTime Now) {
+  return std::max(0.0, occupancyOf(Item, Now) - kComfortableOccupancy) +
+         kDistanceCost[std::size_t(Item.Place)];
 }
 
 } // namespace
@@ -87,10 +115,12 @@
   return Tested ? Tested : Item;
 }
 
-// Localities in order of distance; one that refuses as overloaded is passed
-// over by a share of the calls if the next one has something to offer.
+// Localities in order of distance. One that refuses as overloaded is passed
+// over by a share of the calls if the next one has something to offer, and so
+// is one whose upstreams are busier than the way to the next one is long.
 Upstream *Router::pickByLocality(Request &Call) {
   Upstream *Passed = nullptr;
+  Upstream *Best = nullptr;
   for (std::size_t Place = 0; Place < kLocalityCount; ++Place) {
     if (!Call.Open[Place] || Call.Group.Near[Place].empty())
       continue;
@@ -98,14 +128,19 @@
     if (!Item)
       continue;
     const double Share = Call.Group.Spill[Place].share(Call.Now);
-    if (Share == 0 || draw() >= Share) {
-      Counters.Spilled += Passed != nullptr;
-      return Item;
+    if (Share > 0 && draw() < Share) {
+      Passed = Passed ? Passed : Item;
+      continue;
+    }
+    if (!Best || costOf(*Item, Call.Now) < costOf(*Best, Call.Now)) {
+      Passed = Passed ? Passed : Best;
+      Best = Item;
     }
-    if (!Passed)
-      Passed = Item;
+    if (occupancyOf(*Best, Call.Now) <= kComfortableOccupancy)
+      break;
   }
-  return Passed;
+  Counters.Spilled += Best && Passed;
+  return Best ? Best : Passed;
 }
 
 Upstream *Router::pickTrial(Request &Call, std::size_t Places) {
@@ -220,6 +255,8 @@
   if (!Item)
     return;
   Item->InFlight -= Item->InFlight > 0;
+  if (Report.Slots > 0)
+    Item->Slots = Report.Slots;
   if (Report.Load >= 0) {
     Item->ReportedLoad = std::uint32_t(Report.Load);
     Item->ReportedAt = Now;
--- a/src/routing/internal/upstreamtable.cpp
+++ b/src/routing/internal/upstreamtable.cpp
@@ -58,7 +58,7 @@
     New.Service = Record.Service;
     New.Region = Record.Region;
     New.Place = localityOf(Record);
-    New.Slots = std::max<std::uint32_t>(Record.Slots, 1);
+    New.Slots = Record.Slots;
     New.Started = startOf(Record.Epoch, Now, WallNow);
     ByInstance[Record.Instance] = Upstreams.size();
     Upstreams.push_back(std::move(New));
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -77,6 +77,8 @@
   std::int32_t Load = -1;
   /// Size of the response with its headers.
   std::size_t ResponseBytes = 0;
+  /// Calls that the serving daemon lets run at a time; 0 if it did not say.
+  std::uint32_t Slots = 0;
 };
 
 } // namespace routing
--- a/src/routing/upstreamtable.h
+++ b/src/routing/upstreamtable.h
@@ -28,7 +28,8 @@
   bool Silent = false;
   /// It refused a call because it drains, before membership said so.
   bool RefusedAsDraining = false;
-  std::uint32_t Slots = 1;
+  /// Calls that may run at a time; 0 until it has said so.
+  std::uint32_t Slots = 0;
   /// Calls of this daemon that have not finished.
   std::uint32_t InFlight = 0;
   /// Load in its last response.
