--- a/src/node/internal/upstreams.cpp
+++ b/src/node/internal/upstreams.cpp
@@ -12,38 +12,22 @@
 
 constexpr std::uint16_t kFirstServerError = 500;
 
-routing::CallResult resultOfRefusal(base::ErrorKind Kind,
-                                    base::Outcome Outcome) {
-  using base::ErrorKind;
-  using routing::CallResult;
-  switch (Kind) {
-  case ErrorKind::Overloaded:
-    return CallResult::Overloaded;
-  case ErrorKind::Draining:
-    return CallResult::Draining;
-  case ErrorKind::Cancelled:
-    return CallResult::Abandoned;
-  case ErrorKind::DeadlineExceeded:
-    // A call that expired in the queue met an overloaded upstream.
-    return Outcome == base::Outcome::NotRun ? CallResult::Overloaded
-                                            : CallResult::Failed;
-  case ErrorKind::NoUpstream:
-  case ErrorKind::OutcomeUnknown:
-    return CallResult::ConnectionFailed;
-  default:
-    return CallResult::Failed;
-  }
+/// An unknown outcome comes from a connection that broke on this path.
+routing::CallResult resultOfError(base::ErrorKind Kind, base::Outcome What) {
+  return Kind == base::ErrorKind::OutcomeUnknown
+             ? routing::CallResult::ConnectionFailed
+             : routing::resultOfRefusal(Kind, What);
 }
 
 } // namespace
 
 routing::CallResult callResultOf(const execution::CallVerdict &Verdict) {
   if (Verdict.Error)
-    return resultOfRefusal(*Verdict.Error, Verdict.What);
+    return resultOfError(*Verdict.Error, Verdict.What);
   if (!Verdict.Answer)
     return routing::CallResult::ConnectionFailed;
   if (Verdict.Answer->Error)
-    return resultOfRefusal(*Verdict.Answer->Error, Verdict.What);
+    return resultOfError(*Verdict.Answer->Error, Verdict.What);
   return Verdict.Answer->Status >= kFirstServerError
              ? routing::CallResult::Failed
              : routing::CallResult::Answered;
--- a/src/platformlog/internal/responses.cpp
+++ b/src/platformlog/internal/responses.cpp
@@ -1,7 +1,8 @@
 #include "platformlog/internal/responses.h"
 
+#include "base/base64.h"
+
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <algorithm>
 
@@ -49,15 +50,7 @@
   const auto Found = Object.find("data");
   if (Found == Object.end() || !Found->is_string())
     return std::nullopt;
-  const auto &Text = Found->get_ref<const std::string &>();
-  std::string Bytes(Text.size() / 4 * 3 + 3, '\0');
-  std::size_t Length = 0;
-  if (sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
-                        Bytes.size(), Text.data(), Text.size(), nullptr,
-                        &Length, nullptr, sodium_base64_VARIANT_ORIGINAL) != 0)
-    return std::nullopt;
-  Bytes.resize(Length);
-  return Bytes;
+  return base::fromBase64(Found->get_ref<const std::string &>());
 }
 
 std::optional<LogRecord> recordIn(const json &Item, std::string &Reason) {
--- a/src/relay/daemon.h
+++ b/src/relay/daemon.h
@@ -83,6 +83,10 @@
   /// Leaves the fleet; requests of callers are served until `stopped`.
   void drain();
 
+  /// Answers the requests of callers that are still open; the process is about
+  /// to end.
+  void endRequests();
+
   /// Daemons that this one may send calls to, itself included.
   std::size_t reachableDaemons() const;
 
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -47,6 +47,10 @@
   /// Responses close their connections from now on.
   void startDraining() { Draining = true; }
 
+  /// Answers all open requests, as not run or with an unknown outcome if a call
+  /// may still run, and turns further ones away.
+  void endAll();
+
   /// Retries that this daemon may cause at a service without first attempts.
   void setRetryFloor(std::uint64_t Floor) { RetryFloor = Floor; }
 
@@ -112,6 +116,7 @@
   void answerWith(OpenRequest &Request, const execution::Response &Answer,
                   const CallTimes &Times);
   void onDeadline(http::ExchangeId Id);
+  void end(OpenRequest &Request, base::ErrorKind Reason);
   void giveUp(OpenRequest &Request);
   void refuse(OpenRequest &Request, base::ErrorKind Kind);
   void respond(OpenRequest &Request, http::Response Answer);
@@ -141,6 +146,7 @@
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
   bool Draining = false;
+  bool Ending = false;
 };
 
 } // namespace relay
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -328,6 +328,11 @@
   Impl->Members->leave();
 }
 
+void Daemon::endRequests() {
+  if (Impl->Requests)
+    Impl->Requests->endAll();
+}
+
 std::size_t Daemon::reachableDaemons() const {
   if (!Impl->Members)
     return 0;
--- a/src/relay/internal/destinations.cpp
+++ b/src/relay/internal/destinations.cpp
@@ -12,32 +12,11 @@
 /// upstreams.
 constexpr std::uint64_t kRegionBytesPerSecond = std::uint64_t{500} << 20;
 
-routing::CallResult resultOfError(base::ErrorKind Kind, base::Outcome What) {
-  using base::ErrorKind;
-  using routing::CallResult;
-  switch (Kind) {
-  case ErrorKind::Overloaded:
-    return CallResult::Overloaded;
-  case ErrorKind::Draining:
-    return CallResult::Draining;
-  case ErrorKind::Cancelled:
-    return CallResult::Abandoned;
-  case ErrorKind::DeadlineExceeded:
-    // A call that expired in the queue met an overloaded upstream.
-    return What == base::Outcome::NotRun ? CallResult::Overloaded
-                                         : CallResult::Failed;
-  case ErrorKind::NoUpstream:
-    return CallResult::ConnectionFailed;
-  default:
-    return CallResult::Failed;
-  }
-}
-
 } // namespace
 
 routing::CallResult resultOf(const execution::CallVerdict &Verdict) {
   if (Verdict.Error)
-    return resultOfError(*Verdict.Error, Verdict.What);
+    return routing::resultOfRefusal(*Verdict.Error, Verdict.What);
   // A failure that the backend server reports may stem from a service further
   // down, so it says nothing about this upstream.
   return Verdict.Answer ? routing::CallResult::Answered
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -98,6 +98,8 @@
   Request.AttemptId =
       http::findHeader(Sent.Headers, Settings.Headers.AttemptId).value_or("");
   setDeadlines(Request);
+  if (Ending)
+    return refuse(Request, base::ErrorKind::Draining);
   if (!Policy)
     return refuse(Request, base::ErrorKind::NoUpstream);
   Request.Route = Policy->route(
@@ -398,15 +400,23 @@
 
 void Entry::onDeadline(http::ExchangeId Id) {
   const auto Found = Requests.find(Id);
-  if (Found == Requests.end())
-    return;
-  OpenRequest &Request = Found->second;
+  if (Found != Requests.end())
+    end(Found->second, base::ErrorKind::DeadlineExceeded);
+}
+
+void Entry::endAll() {
+  Ending = true;
+  while (!Requests.empty())
+    end(Requests.begin()->second, base::ErrorKind::Draining);
+}
+
+void Entry::end(OpenRequest &Request, base::ErrorKind Reason) {
   // A call that is out may still run.
   if (Request.Call)
     Request.Overall =
         execution::combineOutcomes(Request.Overall, base::Outcome::Unknown);
   giveUp(Request);
-  refuse(Request, base::ErrorKind::DeadlineExceeded);
+  refuse(Request, Reason);
 }
 
 /// Stops the work for a request whose caller no longer needs it.
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -330,6 +330,27 @@
   CHECK(Test.First.requests().size() <= 1);
 }
 
+// Guards against a process that ends at its grace time and cuts requests whose
+// servers hang (soak, seed 1).
+TEST_CASE("a daemon that ends answers the requests that are still open") {
+  Arena Test([](const std::string &) { return RawServer::Reaction{}; },
+             [](const std::string &) { return RawServer::Reaction{}; });
+  std::optional<http::ExchangeResult> Ended;
+  Test.Fleet.start(0, callerRequest("POST", "/once/x"),
+                   [&](const http::ExchangeResult &Result) { Ended = Result; });
+  Test.Fleet.waitFor([&] { return Test.runs() == 1; });
+  Test.Fleet.daemon(0).endRequests();
+  Test.Fleet.runFor(50ms);
+  REQUIRE(Ended);
+  CHECK(Ended->Received.Status == 502);
+  CHECK(outcomeOf(*Ended) == "unknown");
+  // Callers send on until the process is gone (soak, seed 1 beside the tests).
+  const auto Late = Test.Fleet.ask(0, callerRequest("POST", "/once/x", "late"));
+  CHECK(Late.Received.Status == 503);
+  CHECK(outcomeOf(Late) == "not-run");
+  CHECK(Test.runs() == 1);
+}
+
 // Pattern: one workspace sends more than its limit. Guards against requests
 // over the limit that run, and against their refusal as anything but 429.
 TEST_CASE("requests over a workspace's limit are refused with 429") {
--- /dev/null
+++ b/src/routing/internal/callresult.cpp
@@ -0,0 +1,25 @@
+#include "routing/types.h"
+
+namespace routing {
+
+CallResult resultOfRefusal(base::ErrorKind Kind, base::Outcome What) {
+  using base::ErrorKind;
+  switch (Kind) {
+  case ErrorKind::Overloaded:
+    return CallResult::Overloaded;
+  case ErrorKind::Draining:
+    return CallResult::Draining;
+  case ErrorKind::Cancelled:
+    return CallResult::Abandoned;
+  case ErrorKind::DeadlineExceeded:
+    // A call that expired in the queue met an overloaded upstream.
+    return What == base::Outcome::NotRun ? CallResult::Overloaded
+                                         : CallResult::Failed;
+  case ErrorKind::NoUpstream:
+    return CallResult::ConnectionFailed;
+  default:
+    return CallResult::Failed;
+  }
+}
+
+} // namespace routing
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -2,6 +2,7 @@
 #define JACKDAW_ROUTING_TYPES_H
 
 #include "base/clock.h"
+#include "base/errors.h"
 #include "base/types.h"
 
 #include <cstddef>
@@ -69,6 +70,9 @@
   Abandoned,
 };
 
+/// What a call that a daemon refused or gave up says about its upstream.
+CallResult resultOfRefusal(base::ErrorKind Kind, base::Outcome What);
+
 /// What a finished call says about its upstream.
 struct CallReport {
   CallResult Result = CallResult::Answered;
--- a/tests/standins/standinlog.cpp
+++ b/tests/standins/standinlog.cpp
@@ -1,8 +1,9 @@
 #include "standins/standinlog.h"
 
+#include "base/base64.h"
+
 #include <microhttpd.h>
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <algorithm>
 #include <condition_variable>
@@ -23,16 +24,6 @@
 
 constexpr std::size_t kMaxBody = std::size_t{8} * 1024 * 1024;
 
-std::string toBase64(const std::string &Bytes) {
-  constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
-  std::string Text(sodium_base64_encoded_len(Bytes.size(), Variant), '\0');
-  sodium_bin2base64(Text.data(), Text.size(),
-                    reinterpret_cast<const unsigned char *>(Bytes.data()),
-                    Bytes.size(), Variant);
-  Text.pop_back();
-  return Text;
-}
-
 std::optional<std::uint64_t> argument(MHD_Connection *Connection,
                                       const char *Name) {
   const char *Text =
@@ -95,7 +86,7 @@
     for (; Offset <= End && Limit > 0; ++Offset, --Limit)
       Page["records"].push_back(
           {{"offset", Offset},
-           {"data", toBase64(Records[Offset - firstOffset()])}});
+           {"data", base::toBase64(Records[Offset - firstOffset()])}});
     return Page.dump();
   }
 
