Tell the throttle's share in the log line of a refused request

A request that the throttle refuses could not be explained from its line. The permit of a request counts from when it is granted, so a request that ends while it waits for one gives nothing back.

--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -103,6 +103,7 @@
 
   Identity identify(OpenRequest &Request);
   void onGateVerdict(http::ExchangeId Id, GateVerdict Verdict);
+  void begin(OpenRequest &Request);
   void adoptParent(OpenRequest &Request);
   bool admitNew(OpenRequest &Request);
   void setDeadlines(OpenRequest &Request);
@@ -126,6 +127,7 @@
                   base::ErrorKind Kind, std::uint16_t Status) const;
   retry::RetryBudget &budgetOf(const base::ServiceName &Service);
   overload::EntryThrottle &throttleOf(const OpenRequest &Request);
+  double admittedShare(const OpenRequest &Request) const;
   void recordEnd(const OpenRequest &Request, bool Succeeded);
 
   const EntrySettings Settings;
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -119,8 +119,7 @@
   if (!Request.Message.Inner && !admitNew(Request))
     return refuse(Request, base::ErrorKind::Overloaded);
   if (Caller.Workspace == nullptr)
-    return onGateVerdict(Id, GateVerdict::Admitted);
-  Request.Charged = true;
+    return begin(Request);
   Rates.admit(*Caller.Workspace,
               [this, Id](GateVerdict Verdict) { onGateVerdict(Id, Verdict); });
 }
@@ -130,12 +129,16 @@
   if (Found == Requests.end())
     return;
   OpenRequest &Request = Found->second;
-  if (Verdict != GateVerdict::Admitted) {
-    Request.Charged = false;
+  if (Verdict != GateVerdict::Admitted)
     return refuse(Request, Verdict == GateVerdict::RateExceeded
                                ? base::ErrorKind::RateExceeded
                                : base::ErrorKind::LimitUnavailable);
-  }
+  Request.Charged = true;
+  begin(Request);
+}
+
+/// Sends a request that has been let in.
+void Entry::begin(OpenRequest &Request) {
   Request.Started = true;
   budgetOf(Request.Message.Context.Service)
       .recordFirstAttempt(Request.ArrivedAt);
@@ -497,6 +500,15 @@
   Server.respond(Id, std::move(Answer));
 }
 
+/// Share of requests like this one that the throttle lets in now.
+double Entry::admittedShare(const OpenRequest &Request) const {
+  if (Request.Route == nullptr)
+    return 1;
+  const auto Found = Throttles.find(
+      {Request.Route->Name, Request.Message.Context.Scope.Priority});
+  return Found == Throttles.end() ? 1 : Found->second.share();
+}
+
 void Entry::logRequest(const char *Event, const OpenRequest &Request,
                        base::ErrorKind Kind, std::uint16_t Status) const {
   const base::BootTime Now = Loop.clock().now();
@@ -515,6 +527,8 @@
        {"workspace", Context.Scope.Workspace.str()},
        {"inner", Request.Message.Inner},
        {"parent", Request.Parent ? base::toHex(Request.Parent->Bytes) : ""},
+       {"admitted_share", admittedShare(Request)},
+       {"congested", Request.Congested},
        {"policy", Request.Policy ? Request.Policy->version().value() : 0},
        {"tried", Tried},
        {"arrivals", Request.Arrivals},
