--- a/src/overload/internal/entrythrottle.cpp
+++ b/src/overload/internal/entrythrottle.cpp
@@ -23,8 +23,7 @@
 constexpr double kGrowthFactor = 1.3;
 /// How much of the share goes in an interval in which all requests met a queue,
 /// by class. The steps between the classes make the less urgent ones give way
-/// before the others lose much; in the model of the tests, 0.05, 0.2 and 0.5
-/// served the most at 1.2, 2 and 3 times the capacity.
+/// before the others lose much.
 constexpr std::array<double, base::kPriorityClassCount> kReactions{0.05, 0.2,
                                                                    0.5};
 /// The same for an interval in which all requests failed, for all classes.
