Call shared pieces where the platform's work wrote them again

- The throttle drew from a hash over a new random id, which cost a system call for each request and which nothing else read.
It draws a number now, with the same distribution.
- The number of daemons is counted once a tick instead of twice.
- The keeper of a limit found the workspace by going through all of them for each permit; the policy has an index by name.

--- a/src/config/fleetpolicy.h
+++ b/src/config/fleetpolicy.h
@@ -98,12 +98,16 @@
   /// The workspace that holds the key with this digest, or null.
   const WorkspacePolicy *workspaceByKey(const KeyDigest &Digest) const;
 
+  /// The workspace of this name, or null.
+  const WorkspacePolicy *workspace(const base::WorkspaceName &Name) const;
+
 private:
   FleetPolicyContent Content;
   /// Positions in `Content.Routes` by host and prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
       ByHost;
   std::unordered_map<KeyDigest, std::size_t> ByKey;
+  std::unordered_map<base::WorkspaceName, std::size_t> ByName;
 };
 
 using FleetPolicyPtr = std::shared_ptr<const FleetPolicy>;
--- a/src/config/internal/fleetpolicy.cpp
+++ b/src/config/internal/fleetpolicy.cpp
@@ -23,9 +23,12 @@
     const HostRoute &Each = Content.Routes[Index];
     ByHost[hostKey(Each.Host)].emplace(Each.Prefix, Index);
   }
-  for (std::size_t Index = 0; Index < Content.Workspaces.size(); ++Index)
-    for (const KeyDigest &Digest : Content.Workspaces[Index].KeyDigests)
+  for (std::size_t Index = 0; Index < Content.Workspaces.size(); ++Index) {
+    const WorkspacePolicy &Each = Content.Workspaces[Index];
+    ByName.emplace(Each.Name, Index);
+    for (const KeyDigest &Digest : Each.KeyDigests)
       ByKey.emplace(Digest, Index);
+  }
 }
 
 const HostRoute *FleetPolicy::route(std::string_view Host,
@@ -52,6 +55,12 @@
   return Found == ByKey.end() ? nullptr : &Content.Workspaces[Found->second];
 }
 
+const WorkspacePolicy *
+FleetPolicy::workspace(const base::WorkspaceName &Name) const {
+  const auto Found = ByName.find(Name);
+  return Found == ByName.end() ? nullptr : &Content.Workspaces[Found->second];
+}
+
 base::PriorityClass classOfRank(std::uint32_t Rank) {
   if (Rank == 0)
     return base::PriorityClass::Critical;
--- a/src/config/tests/fleetpolicytest.cpp
+++ b/src/config/tests/fleetpolicytest.cpp
@@ -39,4 +39,6 @@
   const config::FleetPolicy Policy(Content);
   CHECK(Policy.workspaceByKey(config::digestKey("secret"))->Name.str() == "w");
   CHECK(Policy.workspaceByKey(config::digestKey("other")) == nullptr);
+  CHECK(Policy.workspace(Workspace.Name)->Name.str() == "w");
+  CHECK(Policy.workspace(base::WorkspaceName("v")) == nullptr);
 }
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -188,8 +188,9 @@
   Members->tick();
   PolicyFollower.expect(Members->highestConfigurationOffset());
   PolicyFollower.setPace(Members->isReader() ? kReaderPace : kOthersPace);
-  Requests->setRetryFloor(Settings.RetryFloor / Members->announcedCount());
-  Rates->setDaemons(Members->announcedCount());
+  const std::size_t Daemons = Members->announcedCount();
+  Requests->setRetryFloor(Settings.RetryFloor / Daemons);
+  Rates->setDaemons(Daemons);
 }
 
 void Daemon::Parts::onRequest(http::AsyncServer &From, http::ExchangeId Id,
--- a/src/relay/internal/entry.cpp
+++ b/src/relay/internal/entry.cpp
@@ -1,7 +1,7 @@
 #include "relay/entry.h"
 
 #include "overload/level.h"
-#include "overload/requestvalue.h"
+#include "relay/internal/durations.h"
 
 #include <nlohmann/json.hpp>
 
@@ -40,15 +40,6 @@
 constexpr std::uint16_t kUnavailable = 503;
 constexpr std::uint16_t kGatewayTimeout = 504;
 
-std::int64_t milliseconds(base::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
-std::uint64_t microseconds(base::Duration Value) {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(
-      0, std::chrono::duration_cast<std::chrono::microseconds>(Value).count()));
-}
-
 /// The key in a credentials header, as in `Scheme KEY`.
 std::string keyOf(const std::string &Credentials, const std::string &Scheme) {
   const std::size_t Space = Credentials.find(' ');
@@ -147,15 +138,11 @@
 
 /// Whether the daemons on the way can take another request of this urgency.
 bool Entry::admitNew(OpenRequest &Request) {
-  execution::RequestScope &Scope = Request.Message.Context.Scope;
-  Scope.Root = base::makeRandomId<base::RootId>();
+  const execution::RequestScope &Scope = Request.Message.Context.Scope;
+  const auto Draw = static_cast<std::uint8_t>(Random() % overload::kValueCount);
   const std::uint8_t Value =
-      overload::requestValue(Scope.Root, Scope.Workspace,
-                             overload::valuePeriod(Loop.clock().wallNow()));
-  Scope.AdmissionValue =
-      Demand.correctedValue(Scope.Workspace, Scope.Priority, Value);
-  if (throttleOf(Request).admits(double(Scope.AdmissionValue) /
-                                 overload::kValueCount))
+      Demand.correctedValue(Scope.Workspace, Scope.Priority, Draw);
+  if (throttleOf(Request).admits(double(Value) / overload::kValueCount))
     return true;
   Metrics.counter("requests_throttled_total").add();
   return false;
--- a/src/relay/internal/ratekeeper.cpp
+++ b/src/relay/internal/ratekeeper.cpp
@@ -102,6 +102,11 @@
   return Found == Keepers.end() ? nullptr : &Found->second;
 }
 
+const config::WorkspacePolicy *
+RateKeeper::policyOf(const base::WorkspaceName &Workspace) const {
+  return Policy ? Policy->workspace(Workspace) : nullptr;
+}
+
 void RateKeeper::admit(const config::WorkspacePolicy &Workspace,
                        Callback Done) {
   if (Limits.take(Workspace.Name, limitOf(Workspace)) ==
@@ -155,10 +160,8 @@
 void RateKeeper::onPermitRequest(transport::ConnectionId From,
                                  const PermitRequest &Request) {
   PermitGrant Grant{Request.Number, 0};
-  if (Policy)
-    for (const config::WorkspacePolicy &Each : Policy->content().Workspaces)
-      if (Each.Name == Request.Workspace)
-        Grant.Granted = Limits.grant(Each.Name, limitOf(Each), Request.Wanted);
+  if (const config::WorkspacePolicy *Known = policyOf(Request.Workspace))
+    Grant.Granted = Limits.grant(Known->Name, limitOf(*Known), Request.Wanted);
   Peers.send(From, makeFrame(FrameType::PermitGrant, Grant));
 }
 
@@ -178,10 +181,8 @@
 }
 
 void RateKeeper::onPermitReturn(const PermitReturn &Returned) {
-  if (Policy)
-    for (const config::WorkspacePolicy &Each : Policy->content().Workspaces)
-      if (Each.Name == Returned.Workspace)
-        Limits.takeBack(Each.Name, limitOf(Each), Returned.Count);
+  if (const config::WorkspacePolicy *Known = policyOf(Returned.Workspace))
+    Limits.takeBack(Known->Name, limitOf(*Known), Returned.Count);
 }
 
 /// Admits as many waiting requests as there are permits. Those that came after
--- a/src/relay/internal/serving.cpp
+++ b/src/relay/internal/serving.cpp
@@ -1,6 +1,7 @@
 #include "relay/serving.h"
 
 #include "overload/fixedlimit.h"
+#include "relay/internal/durations.h"
 
 #include <nlohmann/json.hpp>
 
@@ -61,15 +62,6 @@
   return Result;
 }
 
-std::uint64_t microseconds(base::Duration Value) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(Value).count());
-}
-
-std::int64_t milliseconds(base::Duration Value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-}
-
 } // namespace
 
 Serving::Serving(ServingSettings Settings, eventloop::EventLoop &Loop,
--- a/src/relay/ratekeeper.h
+++ b/src/relay/ratekeeper.h
@@ -92,6 +92,8 @@
 
   void chooseKeepers();
   const Member *keeperOf(const base::WorkspaceName &Workspace) const;
+  const config::WorkspacePolicy *
+  policyOf(const base::WorkspaceName &Workspace) const;
   void ask(const base::WorkspaceName &Workspace, Asking &Current);
   void onTimeout(const base::WorkspaceName &Workspace);
   void settle(const base::WorkspaceName &Workspace, std::uint32_t Granted,
