Log what a backend server states next to the load that it gets

The event server_load reports both once a second while a server states something, with the share of inner and of queued calls. Values without a meaning are counted. Nothing acts on the figures yet.

--- a/src/http/asyncclient.h
+++ b/src/http/asyncclient.h
@@ -25,6 +25,10 @@
   /// connection is not reused, because its responses no longer match the
   /// requests.
   std::function<bool(const Response &Message)> AllowReuse;
+  /// Called with the status and headers of the final response before its body
+  /// is read, and not called if the transfer fails before that; may be empty.
+  /// Must not start or cancel transfers.
+  std::function<void(const Response &Message)> OnHeaders;
   /// Uses a new connection and closes it after the response.
   bool FreshConnection = false;
 };
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -187,6 +187,7 @@
     Current.RequestTarget += "?" + Message.Query;
   Current.Collector.MaxBytes = Options.MaxResponseBytes;
   Current.Collector.AllowReuse = Options.AllowReuse;
+  Current.Collector.OnHeaders = Options.OnHeaders;
   Current.Collector.Handle = Current.Handle;
   Current.Headers = makeHeaderList(Current.Message);
   curl_easy_setopt(Current.Handle, CURLOPT_URL, BaseUrl.c_str());
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/curlsupport.h"
 
 #include <algorithm>
+#include <charconv>
 #include <mutex>
 
 namespace http {
@@ -19,20 +20,39 @@
   return Bytes;
 }
 
+constexpr std::uint16_t kFirstFinalStatus = 200;
+
+/// Status in a status line, such as `HTTP/1.1 200 OK`; 0 if there is none.
+std::uint16_t statusIn(std::string_view Line) {
+  const std::size_t Space = Line.find(' ');
+  std::uint16_t Status = 0;
+  if (Space != std::string_view::npos)
+    std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(), Status);
+  return Status;
+}
+
+/// Called at the end of the headers of a response.
+void onHeadersComplete(ResponseCollector &Collector) {
+  if (Collector.AllowReuse && !Collector.AllowReuse(Collector.Response))
+    curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
+  if (Collector.OnHeaders && Collector.Response.Status >= kFirstFinalStatus)
+    Collector.OnHeaders(Collector.Response);
+}
+
 std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                      void *Context) {
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   const std::string_view Line(Data, Size * Count);
   // Each status line starts a new set of headers; those of an interim (1xx)
   // response are dropped.
-  if (Line.starts_with("HTTP/"))
+  if (Line.starts_with("HTTP/")) {
     Collector.Response.Headers.clear();
+    Collector.Response.Status = statusIn(Line);
+  }
   const std::size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos) {
-    const bool End = Line == "\r\n" || Line == "\n";
-    if (End && Collector.AllowReuse &&
-        !Collector.AllowReuse(Collector.Response))
-      curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
+    if (Line == "\r\n" || Line == "\n")
+      onHeadersComplete(Collector);
     return Line.size();
   }
   std::string_view Value = Line.substr(Colon + 1);
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -21,6 +21,8 @@
   bool TooLarge = false;
   /// See `TransferOptions`; may be empty.
   std::function<bool(const http::Response &)> AllowReuse;
+  /// See `TransferOptions`; may be empty.
+  std::function<void(const http::Response &)> OnHeaders;
   CURL *Handle = nullptr;
 };
 
--- a/src/relay/callexecutor.h
+++ b/src/relay/callexecutor.h
@@ -9,6 +9,7 @@
 #include "relay/callcorrelator.h"
 #include "relay/localserverstate.h"
 #include "relay/messages.h"
+#include "relay/serverloadmonitor.h"
 #include "relay/structuredlog.h"
 #include "transport/peertransport.h"
 
@@ -68,7 +69,7 @@
     base::BootTime StartedAt;
     std::string AttemptId;
     http::TransferId Transfer;
-    std::string ServerId;
+    ServerIncarnation Server;
     /// Time that the call waited in the queue.
     base::Duration QueueTime{};
   };
@@ -80,6 +81,9 @@
   bool startNext();
   void forward(const base::CallId &Id, QueuedCall Call,
                base::Duration QueueTime);
+  /// Handles the headers of the server's response to a running call.
+  void onResponseHeaders(const base::CallId &Id,
+                         const http::Response &Received);
   void onExchangeCompleted(const base::CallId &Id,
                            http::ExchangeResult Exchange);
   execution::Response toCallResponse(const RunningCall &Call,
@@ -101,6 +105,7 @@
   CallCorrelator &Correlator;
   http::AsyncClient Client;
   LocalServerState Server;
+  ServerLoadMonitor LoadMonitor;
   execution::ExecutionTable Executions;
   overload::WorkQueue Queue;
   std::unique_ptr<overload::ConcurrencyLimit> Limit;
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -76,6 +76,7 @@
                            const LocalServerState &InitialState)
     : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
       Peers(Peers), Correlator(Correlator), Client(Loop), Server(InitialState),
+      LoadMonitor(Loop.clock(), Metrics, Log),
       Executions(Loop.clock(), this->Settings.Self),
       Queue(Loop.clock(), {kQueueLength, kMaxQueueTime}),
       Limit(std::make_unique<overload::FixedLimit>(
@@ -201,6 +202,7 @@
     refuse(Expired.Entry.Id, base::ErrorKind::Overloaded,
            "no slot came free in time");
   Limit->tick();
+  LoadMonitor.tick();
   const base::BootTime Now = Loop.clock().now();
   if (Now < NextMaintenance)
     return;
@@ -248,14 +250,14 @@
   RunningCall NewCall;
   NewCall.StartedAt = Now;
   NewCall.QueueTime = QueueTime;
-  NewCall.ServerId = Server.latestReport()->Server.Id;
+  NewCall.Server = Server.latestReport()->Server;
   http::Request &Sent = Call.Message.Request;
   NewCall.AttemptId =
       http::findHeader(Sent.Headers, Settings.Headers.AttemptId).value_or("");
   Sent.Headers.push_back(
       {Settings.Headers.TimeLeft,
        std::to_string(std::max<std::int64_t>(1, milliseconds(Remaining)))});
-  Sent.Headers.push_back({Settings.Headers.ExpectedServer, NewCall.ServerId});
+  Sent.Headers.push_back({Settings.Headers.ExpectedServer, NewCall.Server.Id});
   http::TransferOptions Options;
   Options.Timeout = std::max<base::Duration>(Remaining, 1ms);
   Options.MaxIdleTime = MaxIdleTime;
@@ -265,7 +267,11 @@
             http::findHeader(Received.Headers, Settings.Headers.AttemptId);
         return !Echo || *Echo == Attempt;
       };
+  Options.OnHeaders = [this, Id](const http::Response &Received) {
+    onResponseHeaders(Id, Received);
+  };
   Limit->callStarted();
+  LoadMonitor.onForwarded(Call.Message.Inner, QueueTime);
   Correlator.add(Id, Now + Remaining, Call.Message.Context.Scope);
   NewCall.Transfer =
       Client.start(Settings.ServerUrl, Sent, Options,
@@ -278,6 +284,15 @@
   Running.emplace(Id, std::move(NewCall));
 }
 
+void CallExecutor::onResponseHeaders(const base::CallId &Id,
+                                     const http::Response &Received) {
+  const auto Found = Running.find(Id);
+  if (Found == Running.end())
+    return;
+  LoadMonitor.onStatement(Found->second.Server,
+                          parseStatement(Received.Headers, Settings.Headers));
+}
+
 void CallExecutor::onExchangeCompleted(const base::CallId &Id,
                                        http::ExchangeResult Exchange) {
   const auto Found = Running.find(Id);
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -25,6 +25,8 @@
   Names.CallerService = "Caller-Service";
   Names.ExpectedServer = "Expected-Server";
   Names.NotExecuted = "Not-Executed";
+  Names.RateLimit = "Rate-Limit";
+  Names.Leaving = "Leaving";
   return Names;
 }
 
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -31,6 +31,11 @@
   std::string ExpectedServer;
   /// Present on responses of a backend server that did not run the request.
   std::string NotExecuted;
+  /// Requests per second that a backend server takes from all daemons together,
+  /// as a decimal number; set by a backend server that needs protection.
+  std::string RateLimit;
+  /// Set to `1` by a backend server that is shutting down.
+  std::string Leaving;
 };
 
 /// One process of a backend server.
