Keep requests to a backend server within the rate limit that it states

Cause: the serving daemon copied the header into the response like any other, and nothing acted on it. server_load lines show the same rate before and after the answer that named the limit, which rules out a burst of requests let in earlier and a loss of the figure at a restart.

Change: the daemon beside the server, which all requests to it pass, holds one token bucket at the stated rate (overload/StatedRateLimit). It starts empty, so restarts bring no allowance. A lower figure applies at once; a higher one, or none, only from an answer to a request sent after the figure was last stated. A call that could not get a token within its queue time is refused at once as not run. Calling daemons are told (ServerNotice) when to send the next call, each a different time, and the router prefers other upstreams until then; if all are limited, it takes the one that is available soonest. Daemons that know the limit remind the serving daemon of it ahead of each call (ServerReminder), since it may have been restarted. Both are frames of their own, which daemons of earlier builds ignore. If no server takes a request, it counts as congested for the throttle of its route.

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -71,6 +71,15 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Ip, Port); }
 };
 
+/// A rate of requests.
+struct RequestRate {
+  double PerSecond = 0;
+
+  friend auto operator<=>(const RequestRate &, const RequestRate &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(PerSecond); }
+};
+
 /// Identifies a daemon process; a restarted daemon has the same instance but
 /// another incarnation.
 struct ProcessId {
--- a/src/overload/fairqueue.h
+++ b/src/overload/fairqueue.h
@@ -86,6 +86,12 @@
   std::size_t size() const { return Locations.size(); }
   std::size_t size(base::PriorityClass Class) const;
 
+  /// Estimates how many queued entries would run before a new entry of this
+  /// class and workspace: those of more urgent classes, and from each workspace
+  /// of the class as many as of the entry's own, which runs last among them.
+  std::size_t sizeAhead(base::PriorityClass Class,
+                        const base::WorkspaceName &Workspace) const;
+
   /// Longest wait in this queue among the entries of each class; zero for an
   /// empty class.
   std::array<base::Duration, base::kPriorityClassCount> oldestWaits() const;
--- a/src/overload/internal/fairqueue.cpp
+++ b/src/overload/internal/fairqueue.cpp
@@ -59,6 +59,22 @@
   return Classes[static_cast<std::size_t>(Class)].Arrivals.size();
 }
 
+std::size_t FairQueue::sizeAhead(base::PriorityClass Class,
+                                 const base::WorkspaceName &Workspace) const {
+  const auto ClassIndex = static_cast<std::size_t>(Class);
+  std::size_t Ahead = 0;
+  for (std::size_t Index = 0; Index < ClassIndex; ++Index)
+    Ahead += Classes[Index].Arrivals.size();
+  const auto &Flows = Classes[ClassIndex].Flows;
+  const auto Own = Flows.find(Workspace);
+  const std::size_t OwnSize =
+      Own == Flows.end() ? 0 : Own->second.Entries.size();
+  for (const auto &[Name, Other] : Flows)
+    Ahead += Name == Workspace ? OwnSize
+                               : std::min(Other.Entries.size(), OwnSize + 1);
+  return Ahead;
+}
+
 std::array<base::Duration, base::kPriorityClassCount>
 FairQueue::oldestWaits() const {
   const base::BootTime Now = Clock.now();
--- a/src/overload/internal/workqueue.cpp
+++ b/src/overload/internal/workqueue.cpp
@@ -1,5 +1,6 @@
 #include "overload/workqueue.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -8,19 +9,30 @@
 namespace {
 
 /// Ongoing entries that run before a waiting new entry.
-constexpr int kOngoingPerNew = 2;
+constexpr std::size_t kOngoingPerNew = 2;
+/// Class of all entries of requests in progress: these were already admitted by
+/// their class at the entry, so it no longer matters.
+constexpr auto kOngoingClass = base::PriorityClass::Normal;
 
 } // namespace
 
 std::optional<DequeuedEntry> WorkQueue::push(QueueEntry Entry, WorkKind Kind) {
   if (Kind == WorkKind::New)
     return New.push(std::move(Entry));
-  // A request in progress was already admitted by its class at the entry, so
-  // the class no longer matters.
-  Entry.Class = base::PriorityClass::Normal;
+  Entry.Class = kOngoingClass;
   return Ongoing.push(std::move(Entry));
 }
 
+std::size_t WorkQueue::sizeAhead(WorkKind Kind, base::PriorityClass Class,
+                                 const base::WorkspaceName &Workspace) const {
+  if (Kind == WorkKind::New) {
+    const std::size_t Same = New.sizeAhead(Class, Workspace);
+    return Same + std::min(Ongoing.size(), kOngoingPerNew * (Same + 1));
+  }
+  const std::size_t Same = Ongoing.sizeAhead(kOngoingClass, Workspace);
+  return Same + std::min(New.size(), (Same + 1) / kOngoingPerNew);
+}
+
 std::optional<DequeuedEntry> WorkQueue::pop() {
   if (ConsecutiveOngoing >= kOngoingPerNew) {
     ConsecutiveOngoing = 0;
--- a/src/overload/tests/workqueuetest.cpp
+++ b/src/overload/tests/workqueuetest.cpp
@@ -66,3 +66,32 @@
   CHECK(Queue.takeExpired().size() == 2);
   CHECK(!Queue.pop());
 }
+
+// Guards against refusing a request because of queued work that would not run
+// before it.
+TEST_CASE_FIXTURE(Fixture, "only the work that would run first counts as "
+                           "ahead of a new entry") {
+  const base::WorkspaceName Large("large");
+  const base::WorkspaceName Small("small");
+  for (int Count = 0; Count < 10; ++Count) {
+    QueueEntry Entry;
+    Entry.Id = base::makeRandomId<base::CallId>();
+    Entry.Workspace = Large;
+    Entry.Deadline = Clock.now() + 1s;
+    CHECK(!Queue.push(Entry, WorkKind::New));
+  }
+  const auto Ahead = [&](WorkKind Kind, base::PriorityClass Class,
+                         const base::WorkspaceName &Workspace) {
+    return Queue.sizeAhead(Kind, Class, Workspace);
+  };
+  using base::PriorityClass;
+  CHECK(Ahead(WorkKind::New, PriorityClass::Normal, Large) == 10);
+  CHECK(Ahead(WorkKind::New, PriorityClass::Normal, Small) == 1);
+  CHECK(Ahead(WorkKind::New, PriorityClass::Critical, Large) == 0);
+  CHECK(Ahead(WorkKind::New, PriorityClass::Background, Small) == 10);
+  CHECK(Ahead(WorkKind::Ongoing, PriorityClass::Background, Small) == 0);
+  for (int Count = 0; Count < 9; ++Count)
+    add(WorkKind::Ongoing);
+  CHECK(Ahead(WorkKind::New, PriorityClass::Critical, Large) == 2);
+  CHECK(Ahead(WorkKind::Ongoing, PriorityClass::Normal, Small) == 2);
+}
--- a/src/overload/workqueue.h
+++ b/src/overload/workqueue.h
@@ -29,6 +29,10 @@
   /// Returns no value if the queue is empty.
   std::optional<DequeuedEntry> pop();
 
+  /// Estimates how many queued entries would run before a new one.
+  std::size_t sizeAhead(WorkKind Kind, base::PriorityClass Class,
+                        const base::WorkspaceName &Workspace) const;
+
   /// Removes a cancelled entry.
   void cancel(const base::CallId &Id);
 
@@ -42,7 +46,7 @@
   FairQueue New;
   FairQueue Ongoing;
   /// Number of ongoing entries that ran since the last new one.
-  int ConsecutiveOngoing = 0;
+  std::size_t ConsecutiveOngoing = 0;
 };
 
 } // namespace overload
--- a/src/relay/callexecutor.h
+++ b/src/relay/callexecutor.h
@@ -5,11 +5,13 @@
 #include "execution/executiontable.h"
 #include "http/asyncclient.h"
 #include "overload/concurrencylimit.h"
+#include "overload/statedratelimit.h"
 #include "overload/workqueue.h"
 #include "relay/callcorrelator.h"
 #include "relay/localserverstate.h"
 #include "relay/messages.h"
 #include "relay/serverloadmonitor.h"
+#include "relay/servernotices.h"
 #include "relay/structuredlog.h"
 #include "transport/peertransport.h"
 
@@ -27,9 +29,9 @@
 };
 
 /// Runs calls at the local backend server: each at most once, no more
-/// concurrently than the server has slots, and none after the server reported
-/// that it is shutting down. A call that is refused here has not reached the
-/// server.
+/// concurrently than the server has slots, no more a second than the server
+/// states, and none after the server reported that it is shutting down. A call
+/// that is refused here has not reached the server.
 class CallExecutor {
 public:
   /// `InitialState` is the state of the backend server by the reports received
@@ -52,7 +54,17 @@
   void onCall(transport::ConnectionId From, CallFrame Message);
   void onFence(transport::ConnectionId From, const execution::Fence &Request);
 
-  /// Refuses calls whose queue time has expired; must be called about every 20
+  /// Applies what the server stated earlier, if this daemon has not heard from
+  /// it since its own start.
+  void onServerReminder(transport::ConnectionId From,
+                        const ServerReminder &Reminder);
+
+  void onConnectionClosed(transport::ConnectionId Connection) {
+    Notices.onConnectionClosed(Connection);
+  }
+
+  /// Refuses calls whose queue time has expired and starts those that the
+  /// server's rate limit allows now; must be called about every 20
   /// ms.
   void tick();
 
@@ -76,7 +88,12 @@
 
   void logServer() const;
   void replaceLimit(std::uint32_t Slots);
+  ServerNotice currentNotice();
   void refuseQueued(base::ErrorKind Kind);
+  /// Whether the rate limit will not allow a new call within `MaxWait`, given
+  /// the queued calls that run before it.
+  bool exceedsRateLimit(const overload::QueueEntry &Entry,
+                        overload::WorkKind Kind, base::Duration MaxWait);
   void startQueuedCalls();
   bool startNext();
   void forward(const base::CallId &Id, QueuedCall Call,
@@ -108,6 +125,8 @@
   ServerLoadMonitor LoadMonitor;
   execution::ExecutionTable Executions;
   overload::WorkQueue Queue;
+  overload::StatedRateLimit RateLimit;
+  ServerNotices Notices;
   std::unique_ptr<overload::ConcurrencyLimit> Limit;
   std::unordered_map<base::CallId, QueuedCall> Queued;
   std::unordered_map<base::CallId, RunningCall> Running;
--- a/src/relay/callsender.h
+++ b/src/relay/callsender.h
@@ -41,6 +41,10 @@
   base::CallId send(const routing::UpstreamChoice &Target,
                     base::BootTime Deadline, CallFrame Message, Callback Done);
 
+  /// Sends a reminder that arrives before the calls sent to `Target` later.
+  void remind(const routing::UpstreamChoice &Target,
+              const ServerReminder &Reminder);
+
   /// Cancels the call at its target, because the caller has disconnected or
   /// already has its response. May call `Done` at once.
   void cancel(const base::CallId &Id);
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -79,6 +79,7 @@
       LoadMonitor(Loop.clock(), Metrics, Log),
       Executions(Loop.clock(), this->Settings.Self),
       Queue(Loop.clock(), {kQueueLength, kMaxQueueTime}),
+      RateLimit(Loop.clock()), Notices(Peers),
       Limit(std::make_unique<overload::FixedLimit>(
           InitialState.latestReport() != nullptr
               ? InitialState.latestReport()->Slots
@@ -98,9 +99,12 @@
 }
 
 ReportResult CallExecutor::onServerReport(const ServerReport &Received) {
+  const bool SameProcess = Server.isCurrent(Received.Server);
   const ReportResult Result = Server.apply(Received);
   if (Result != ReportResult::Changed)
     return Result;
+  if (!SameProcess)
+    RateLimit.reset();
   logServer();
   replaceLimit(Received.Slots);
   if (Server.available())
@@ -126,6 +130,25 @@
     Limit->callStarted();
 }
 
+void CallExecutor::onServerReminder(transport::ConnectionId From,
+                                    const ServerReminder &Reminder) {
+  Notices.onReminder(From);
+  if (!Server.isCurrent(Reminder.Server))
+    return;
+  if (Reminder.RateLimit)
+    RateLimit.adopt(*Reminder.RateLimit);
+}
+
+ServerNotice CallExecutor::currentNotice() {
+  ServerNotice Result;
+  if (Server.latestReport() != nullptr)
+    Result.Server = Server.latestReport()->Server;
+  Result.RateLimit = RateLimit.rate();
+  Result.AvailableAfterMicros =
+      microseconds(RateLimit.inviteAfter(Queue.size()));
+  return Result;
+}
+
 void CallExecutor::refuseQueued(base::ErrorKind Kind) {
   while (const auto Next = Queue.pop())
     refuse(Next->Entry.Id, Kind, "the backend server is shutting down");
@@ -164,11 +187,23 @@
                   "the backend server has not reported or is shutting down");
   if (Draining)
     return refuse(Id, base::ErrorKind::Draining, "the daemon is shutting down");
+  if (exceedsRateLimit(Entry, Kind, Entry.Deadline - Now))
+    return refuse(Id, base::ErrorKind::Overloaded,
+                  "the limit that the backend server states is used up");
   if (const auto Removed = Queue.push(std::move(Entry), Kind))
     refuse(Removed->Entry.Id, base::ErrorKind::Overloaded, "the queue is full");
   startQueuedCalls();
 }
 
+bool CallExecutor::exceedsRateLimit(const overload::QueueEntry &Entry,
+                                    overload::WorkKind Kind,
+                                    base::Duration MaxWait) {
+  if (!RateLimit.rate())
+    return false;
+  const std::size_t Ahead = Queue.sizeAhead(Kind, Entry.Class, Entry.Workspace);
+  return RateLimit.timeUntilAllowed(Ahead) > MaxWait;
+}
+
 void CallExecutor::onFence(transport::ConnectionId From,
                            const execution::Fence &Request) {
   const base::CallId &Id = Request.Identity.Id;
@@ -200,7 +235,10 @@
 void CallExecutor::tick() {
   for (const overload::DequeuedEntry &Expired : Queue.takeExpired())
     refuse(Expired.Entry.Id, base::ErrorKind::Overloaded,
-           "no slot came free in time");
+           RateLimit.rate()
+               ? "the limit that the backend server states is used up"
+               : "no slot came free in time");
+  startQueuedCalls();
   Limit->tick();
   LoadMonitor.tick();
   const base::BootTime Now = Loop.clock().now();
@@ -213,7 +251,7 @@
 }
 
 void CallExecutor::startQueuedCalls() {
-  while (Limit->hasFreeSlot() && startNext()) {
+  while (Limit->hasFreeSlot() && RateLimit.allows() && startNext()) {
   }
 }
 
@@ -271,6 +309,7 @@
     onResponseHeaders(Id, Received);
   };
   Limit->callStarted();
+  RateLimit.consume();
   LoadMonitor.onForwarded(Call.Message.Inner, QueueTime);
   Correlator.add(Id, Now + Remaining, Call.Message.Context.Scope);
   NewCall.Transfer =
@@ -289,8 +328,24 @@
   const auto Found = Running.find(Id);
   if (Found == Running.end())
     return;
-  LoadMonitor.onStatement(Found->second.Server,
-                          parseStatement(Received.Headers, Settings.Headers));
+  const RunningCall &Call = Found->second;
+  // The response of another process, or to another request, says nothing about
+  // the current state of the server.
+  if (!Server.isCurrent(Call.Server) ||
+      Received.Status == kMisdirectedRequest ||
+      http::findHeader(Received.Headers, Settings.Headers.AttemptId) !=
+          Call.AttemptId)
+    return;
+  const ServerStatement Stated =
+      parseStatement(Received.Headers, Settings.Headers);
+  LoadMonitor.onStatement(Call.Server, Stated);
+  // A malformed limit, or a refusal without one, leaves the current limit in
+  // force.
+  const bool NotExecuted =
+      http::findHeader(Received.Headers, Settings.Headers.NotExecuted)
+          .has_value();
+  if (Stated.RateLimit || (!Stated.Malformed && !NotExecuted))
+    RateLimit.observe(Stated.RateLimit, Call.StartedAt);
 }
 
 void CallExecutor::onExchangeCompleted(const base::CallId &Id,
@@ -405,7 +460,7 @@
   if (ReplyTo)
     sendResponse(transport::ConnectionId(ReplyTo->value()), Id,
                  execution::errorResponse(Kind, base::Outcome::NotRun),
-                 Kind == base::ErrorKind::Overloaded);
+                 Kind == base::ErrorKind::Overloaded && !RateLimit.rate());
 }
 
 void CallExecutor::sendResponse(transport::ConnectionId To,
@@ -419,6 +474,7 @@
   Message.Load = static_cast<std::uint32_t>(openCalls());
   Message.Slots = Limit->limit();
   Message.Congested = Congested;
+  Notices.beforeResponse(To, currentNotice());
   Peers.send(To, makeFrame(FrameType::CallResponse, Message));
 }
 
--- a/src/relay/internal/callsender.cpp
+++ b/src/relay/internal/callsender.cpp
@@ -30,6 +30,12 @@
   return Id;
 }
 
+void CallSender::remind(const routing::UpstreamChoice &Target,
+                        const ServerReminder &Reminder) {
+  Peers.send(Peers.connectionTo(Target.Peer),
+             makeFrame(FrameType::ServerReminder, Reminder));
+}
+
 void CallSender::cancel(const base::CallId &Id) {
   Tracker.cancel(Id);
   runActions();
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -74,6 +74,7 @@
   void onFrame(transport::ConnectionId Connection, const base::ProcessId &Peer,
                const transport::Frame &Received) override;
   void onClosed(transport::ConnectionId Connection) override {
+    Executor->onConnectionClosed(Connection);
     Calls->onConnectionClosed(Connection);
   }
   void onDatagram(const base::Endpoint &From,
@@ -211,7 +212,7 @@
 }
 
 void Daemon::Implementation::onFrame(transport::ConnectionId Connection,
-                                     const base::ProcessId &,
+                                     const base::ProcessId &Peer,
                                      const transport::Frame &Received) {
   const auto CountMalformed = [this] {
     Metrics.counter("peer_messages_malformed_total").add();
@@ -245,6 +246,14 @@
     if (const auto Message = base::decode<PermitReturn>(Received.Body))
       return Limiter->onPermitReturn(*Message);
     return CountMalformed();
+  case FrameType::ServerNotice:
+    if (const auto Message = base::decode<ServerNotice>(Received.Body))
+      return Upstreams->onServerNotice(Peer, *Message);
+    return CountMalformed();
+  case FrameType::ServerReminder:
+    if (const auto Message = base::decode<ServerReminder>(Received.Body))
+      return Executor->onServerReminder(Connection, *Message);
+    return CountMalformed();
   }
   Metrics.counter("peer_messages_unknown_total").add();
 }
--- a/src/relay/internal/entryhandler.cpp
+++ b/src/relay/internal/entryhandler.cpp
@@ -28,6 +28,9 @@
 /// The final attempt of an inner call may wait for the remaining time divided
 /// by this: a refusal would waste the work done so far.
 constexpr int kFinalQueueTimeDivisor = 2;
+/// Queue time at an upstream whose rate limit is used up while others may be
+/// able to run the call at once.
+constexpr base::Duration kLimitedQueueTime = 20ms;
 /// Upstreams that are attempted before a request is refused.
 constexpr std::size_t kMaxUpstreams = 4;
 /// Bounds of `Retry-After` as a share of the caller's remaining time; callers
@@ -298,9 +301,15 @@
     return respondWithError(
         Request, Request.LastError.value_or(base::ErrorKind::NoUpstream));
   Context.TimeLeftMicros = microseconds(Request.Deadline - Now);
-  Request.Message.MaxQueueTimeMicros = microseconds(maxQueueTime(Request, Now));
   Request.Target = *Target;
   Request.Attempted.push_back(Target->Process);
+  const auto Reminder = Upstreams.reminderFor(Target->Process.Instance);
+  if (Reminder)
+    Calls.remind(*Target, *Reminder);
+  base::Duration QueueTime = maxQueueTime(Request, Now);
+  if (Reminder && Reminder->RateLimit && !Target->LastResort)
+    QueueTime = std::min(QueueTime, kLimitedQueueTime);
+  Request.Message.MaxQueueTimeMicros = microseconds(QueueTime);
   Request.Call =
       Calls.send(*Target, Request.Deadline, Request.Message,
                  [this, Id = Request.Exchange](const CallSummary &Summary) {
@@ -459,6 +468,13 @@
 void EntryHandler::respondWithError(OpenRequest &Request,
                                     base::ErrorKind Kind) {
   const std::uint16_t Status = statusOf(Kind, Request.CombinedOutcome);
+  // A single server whose rate limit is used up isn't congestion; a service
+  // without any server that takes the call is.
+  if (Kind == base::ErrorKind::Overloaded && Request.Admitted) {
+    Request.Congested = true;
+    if (Request.Parent)
+      Correlator.markCongested(*Request.Parent);
+  }
   updateThrottle(Request, false);
   if (Request.CountsTowardsLimit &&
       Request.CombinedOutcome == base::Outcome::NotRun)
--- a/src/relay/internal/localserverstate.cpp
+++ b/src/relay/internal/localserverstate.cpp
@@ -24,7 +24,11 @@
 }
 
 bool LocalServerState::markLeaving(const std::string &Id) {
-  if (!Current || Current->Server.Id != Id)
+  return Current && Current->Server.Id == Id && markLeaving(Current->Server);
+}
+
+bool LocalServerState::markLeaving(const ServerIncarnation &Process) {
+  if (!isCurrent(Process))
     return false;
   Leaving = true;
   return true;
--- a/src/relay/internal/serverloadmonitor.cpp
+++ b/src/relay/internal/serverloadmonitor.cpp
@@ -43,18 +43,19 @@
     return;
   const bool Stating = Last.RateLimit || Last.Leaving || Last.Malformed;
   if (Stating || Reporting)
-    Log.state("server_load",
-              {{"server", Server.Id},
-               {"born", Server.StartTimeMillis},
-               {"stated_limit", Last.RateLimit
-                                    ? nlohmann::ordered_json(*Last.RateLimit)
-                                    : nlohmann::ordered_json(nullptr)},
-               {"leaving", Last.Leaving},
-               {"malformed", Last.Malformed},
-               {"forwarded", Current.Forwarded},
-               {"inner", Current.Inner},
-               {"queued_first", Current.Queued},
-               {"over_ms", milliseconds(Elapsed)}});
+    Log.state(
+        "server_load",
+        {{"server", Server.Id},
+         {"born", Server.StartTimeMillis},
+         {"stated_limit",
+          Last.RateLimit ? nlohmann::ordered_json(Last.RateLimit->PerSecond)
+                         : nlohmann::ordered_json(nullptr)},
+         {"leaving", Last.Leaving},
+         {"malformed", Last.Malformed},
+         {"forwarded", Current.Forwarded},
+         {"inner", Current.Inner},
+         {"queued_first", Current.Queued},
+         {"over_ms", milliseconds(Elapsed)}});
   Reporting = Stating;
   Current = {};
   CountedSince = Clock.now();
--- a/src/relay/internal/serverstatement.cpp
+++ b/src/relay/internal/serverstatement.cpp
@@ -19,7 +19,7 @@
   return Text.substr(First, Text.find_last_not_of(kBlanks) - First + 1);
 }
 
-std::optional<double> parseRate(std::string_view Text) {
+std::optional<base::RequestRate> parseRate(std::string_view Text) {
   double Value = 0;
   const char *End = Text.data() + Text.size();
   const auto Read =
@@ -28,7 +28,7 @@
   if (Read.ec != std::errc() || Read.ptr != End || !std::isfinite(Value) ||
       std::signbit(Value))
     return std::nullopt;
-  return Value;
+  return base::RequestRate{Value};
 }
 
 /// Reads the limits in one header value, which may be a comma-separated list
--- a/src/relay/internal/upstreamselector.cpp
+++ b/src/relay/internal/upstreamselector.cpp
@@ -1,5 +1,6 @@
 #include "relay/upstreamselector.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -12,6 +13,9 @@
 /// preferring near upstreams instead.
 constexpr std::uint64_t kRegionBytesPerSecond = std::uint64_t{500} << 20;
 
+/// Bounds the time that a peer may state.
+constexpr std::uint64_t kMaxAvailableAfterMicros = 60'000'000;
+
 } // namespace
 
 routing::CallResult toCallResult(const execution::CallCompletion &Completion) {
@@ -26,7 +30,7 @@
 UpstreamSelector::UpstreamSelector(const base::Clock &Clock,
                                    routing::Topology OwnTopology)
     : Clock(Clock), Table(std::move(OwnTopology)),
-      Router(Table, ByteBudget, std::random_device()()) {}
+      Router(Table, ByteBudget, std::random_device()()), PeerServers(Clock) {}
 
 void UpstreamSelector::applyChanges(
     const membership::MemberTable &Members,
@@ -53,6 +57,14 @@
   return *Chosen;
 }
 
+void UpstreamSelector::onServerNotice(const base::ProcessId &Peer,
+                                      const ServerNotice &Notice) {
+  PeerServers.apply(Peer.Instance, Notice);
+  const auto Wait = std::chrono::microseconds(
+      std::min(Notice.AvailableAfterMicros, kMaxAvailableAfterMicros));
+  Router.setAvailableAt(Peer, Clock.now() + Wait);
+}
+
 void UpstreamSelector::recordCompletion(const routing::UpstreamChoice &Target,
                                         const CallSummary &Summary) {
   routing::CallReport Report;
--- a/src/relay/localserverstate.h
+++ b/src/relay/localserverstate.h
@@ -27,9 +27,20 @@
   /// not the current incarnation.
   bool markLeaving(const std::string &Id);
 
+  /// Records the same about exactly this process of the backend server.
+  bool markLeaving(const ServerIncarnation &Process);
+
   /// Whether new requests may be passed to the server.
   bool available() const { return Current && !Leaving; }
 
+  /// Whether `Process` is the current incarnation.
+  bool isCurrent(const ServerIncarnation &Process) const {
+    return Current && Current->Server == Process;
+  }
+
+  /// Whether the current incarnation is shutting down.
+  bool leaving() const { return Leaving; }
+
   /// The last report of the newest incarnation, also when it is shutting down;
   /// null before the first report.
   const ServerReport *latestReport() const {
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -5,12 +5,15 @@
 #include "execution/messages.h"
 #include "execution/types.h"
 #include "http/message.h"
+#include "relay/types.h"
 #include "transport/types.h"
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace relay {
 
@@ -23,6 +26,8 @@
   PermitRequest,
   PermitGrant,
   PermitReturn,
+  ServerNotice,
+  ServerReminder,
 };
 
 /// A request that the entry daemon sends to the serving daemon.
@@ -69,6 +74,35 @@
   }
 };
 
+/// What the backend server beside the sending daemon states about itself, for
+/// the daemons that send calls to it. Sent ahead of a response.
+struct ServerNotice {
+  ServerIncarnation Server;
+  /// Requests that it takes from all daemons together; empty if it states no
+  /// limit.
+  std::optional<base::RequestRate> RateLimit;
+  bool Leaving = false;
+  /// Time after which the receiving daemon should send its next call because of
+  /// the limit, in microseconds.
+  std::uint64_t AvailableAfterMicros = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Server, RateLimit, Leaving, AvailableAfterMicros);
+  }
+};
+
+/// Reminds a daemon of what its own backend server stated, in case the daemon
+/// has been restarted since. Sent ahead of a call.
+struct ServerReminder {
+  ServerIncarnation Server;
+  std::optional<base::RequestRate> RateLimit;
+  bool Leaving = false;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Server, RateLimit, Leaving);
+  }
+};
+
 /// Encodes `Message` as a frame of the given type.
 template <typename T>
 transport::Frame makeFrame(FrameType Type, const T &Message) {
--- a/src/relay/serverstatement.h
+++ b/src/relay/serverstatement.h
@@ -11,9 +11,9 @@
 
 /// What a backend server states about itself in the headers of a response.
 struct ServerStatement {
-  /// Requests per second that it takes from all daemons together; empty if it
-  /// states no limit.
-  std::optional<double> RateLimit;
+  /// Requests that it takes from all daemons together; empty if it states no
+  /// limit.
+  std::optional<base::RequestRate> RateLimit;
   bool Leaving = false;
   /// A header was present whose value has no meaning.
   bool Malformed = false;
--- a/src/relay/tests/serverstatementtest.cpp
+++ b/src/relay/tests/serverstatementtest.cpp
@@ -16,11 +16,12 @@
 } // namespace
 
 TEST_CASE("a stated rate limit is a decimal number") {
-  CHECK(parse({{"Rate-Limit", "20.1"}}).RateLimit == 20.1);
-  CHECK(parse({{"rate-limit", " 3 "}}).RateLimit == 3.0);
-  CHECK(parse({{"Rate-Limit", "0.25"}}).RateLimit == 0.25);
-  CHECK(parse({{"Rate-Limit", "0"}}).RateLimit == 0.0);
-  CHECK(parse({{"Rate-Limit", "999999999999999999999"}}).RateLimit == 1e21);
+  CHECK(parse({{"Rate-Limit", "20.1"}}).RateLimit == base::RequestRate{20.1});
+  CHECK(parse({{"rate-limit", " 3 "}}).RateLimit == base::RequestRate{3.0});
+  CHECK(parse({{"Rate-Limit", "0.25"}}).RateLimit == base::RequestRate{0.25});
+  CHECK(parse({{"Rate-Limit", "0"}}).RateLimit == base::RequestRate{0.0});
+  CHECK(parse({{"Rate-Limit", "999999999999999999999"}}).RateLimit ==
+        base::RequestRate{1e21});
   CHECK(!parse({}).RateLimit);
   CHECK(!parse({}).Malformed);
 }
@@ -39,9 +40,11 @@
 
 // Guards against a second header with a larger figure that undoes the first.
 TEST_CASE("the lowest of several stated rate limits counts") {
-  CHECK(parse({{"Rate-Limit", "8"}, {"Rate-Limit", "5"}}).RateLimit == 5.0);
-  CHECK(parse({{"Rate-Limit", "5, 8"}}).RateLimit == 5.0);
-  CHECK(parse({{"Rate-Limit", "x"}, {"Rate-Limit", "5"}}).RateLimit == 5.0);
+  CHECK(parse({{"Rate-Limit", "8"}, {"Rate-Limit", "5"}}).RateLimit ==
+        base::RequestRate{5.0});
+  CHECK(parse({{"Rate-Limit", "5, 8"}}).RateLimit == base::RequestRate{5.0});
+  CHECK(parse({{"Rate-Limit", "x"}, {"Rate-Limit", "5"}}).RateLimit ==
+        base::RequestRate{5.0});
 }
 
 TEST_CASE("only the value 1 states that the backend server is leaving") {
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -112,7 +112,7 @@
                                  std::uint32_t Slots) {
   auto NewNode = std::make_unique<Node>();
   NewNode->Name = "instance-" + std::to_string(Nodes.size());
-  relay::DaemonSettings Settings;
+  relay::DaemonSettings &Settings = NewNode->Settings;
   Settings.Instance = base::InstanceId(NewNode->Name);
   Settings.DataCentre = base::DataCentreId("dc");
   Settings.Region = base::RegionId("region");
@@ -123,19 +123,33 @@
   Settings.Tolerance = {5s, 0, 5};
   Settings.PolicyStream = kPolicyStream;
   Settings.PolicyKey = kPolicyKey;
-  NewNode->Daemon = std::make_unique<relay::Daemon>(Settings, Loop, Metrics,
-                                                    Log, Store, Policies);
-  NewNode->Callers =
-      http::AsyncServer::start({}, Loop, NewNode->Daemon->callerHandler())
-          .value();
-  NewNode->Daemon->setCallerServer(*NewNode->Callers);
-  NewNode->Daemon->start();
+  startProcess(*NewNode);
   Nodes.push_back(std::move(NewNode));
   const std::size_t Index = Nodes.size() - 1;
   report(Index, 1, false, Slots);
   return Index;
 }
 
+void TestFleet::startProcess(Node &Target) {
+  Target.Daemon = std::make_unique<relay::Daemon>(
+      Target.Settings, Loop, Metrics, Log, Store, Policies);
+  Target.Callers =
+      http::AsyncServer::start({}, Loop, Target.Daemon->callerHandler())
+          .value();
+  Target.Daemon->setCallerServer(*Target.Callers);
+  Target.Daemon->start();
+}
+
+void TestFleet::restartDaemon(std::size_t Index, std::uint32_t Slots) {
+  Node &Target = *Nodes[Index];
+  Target.Callers.reset();
+  Target.Daemon.reset();
+  startProcess(Target);
+  report(Index, Target.ReportSequence + 1, false, Slots);
+  waitFor([&] { return Target.Daemon->ready(); });
+  waitUntilConnected();
+}
+
 void TestFleet::publish(const config::FleetPolicyContent &Content) {
   const std::string Text = "policy " + std::to_string(Content.Version.value());
   Policies.Contents[Text] = Content;
@@ -188,9 +202,10 @@
 }
 
 void TestFleet::report(std::size_t Index, std::uint64_t Sequence, bool Draining,
-                       std::uint32_t Slots) {
+                       std::uint32_t Slots, std::uint64_t StartTimeMillis) {
+  Nodes[Index]->ReportSequence = Sequence;
   relay::ServerReport Report;
-  Report.Server = {Nodes[Index]->Name + "-server", 1};
+  Report.Server = {Nodes[Index]->Name + "-server", StartTimeMillis};
   Report.Sequence = Sequence;
   Report.Slots = Slots;
   Report.Draining = Draining;
--- a/src/relay/tests/testfleet.h
+++ b/src/relay/tests/testfleet.h
@@ -59,6 +59,10 @@
   std::size_t addDaemon(const std::string &Service,
                         const std::string &ServerUrl, std::uint32_t Slots = 8);
 
+  /// Ends a daemon's process without a planned stop and starts another one in
+  /// its place, to which the backend server reports as ready.
+  void restartDaemon(std::size_t Index, std::uint32_t Slots = 8);
+
   /// Publishes a policy and waits until all daemons are ready.
   void publish(const config::FleetPolicyContent &Content);
 
@@ -79,7 +83,7 @@
                         const std::function<void(http::ExchangeResult)> &Done);
 
   void report(std::size_t Index, std::uint64_t Sequence, bool Draining,
-              std::uint32_t Slots = 8);
+              std::uint32_t Slots = 8, std::uint64_t StartTimeMillis = 1);
 
   relay::Daemon &daemon(std::size_t Index) { return *Nodes[Index]->Daemon; }
   http::AsyncClient &client() { return *Client; }
@@ -91,8 +95,12 @@
     std::unique_ptr<relay::Daemon> Daemon;
     std::unique_ptr<http::AsyncServer> Callers;
     std::string Name;
+    relay::DaemonSettings Settings;
+    std::uint64_t ReportSequence = 0;
   };
 
+  void startProcess(Node &Target);
+
   base::SystemClock Clock;
   base::MetricsRegistry Metrics;
   eventloop::EventLoop Loop;
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -46,6 +46,10 @@
 
   friend bool operator==(const ServerIncarnation &,
                          const ServerIncarnation &) = default;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Id, StartTimeMillis);
+  }
 };
 
 /// State that a backend server reports to the daemon beside it.
--- a/src/relay/upstreamselector.h
+++ b/src/relay/upstreamselector.h
@@ -3,6 +3,7 @@
 
 #include "membership/membertable.h"
 #include "relay/callsender.h"
+#include "relay/peerservertable.h"
 #include "routing/regionbytebudget.h"
 #include "routing/router.h"
 #include "routing/upstreamtable.h"
@@ -31,6 +32,15 @@
   void recordCompletion(const routing::UpstreamChoice &Target,
                         const CallSummary &Summary);
 
+  /// Applies what the daemon `Peer` reports of its backend server.
+  void onServerNotice(const base::ProcessId &Peer, const ServerNotice &Notice);
+
+  /// What to remind an upstream's daemon of before a call.
+  std::optional<ServerReminder>
+  reminderFor(const base::InstanceId &Instance) const {
+    return PeerServers.reminderFor(Instance);
+  }
+
   const routing::RouterCounters &counters() const { return Router.counters(); }
 
 private:
@@ -38,6 +48,7 @@
   routing::UpstreamTable Table;
   routing::RegionByteBudget ByteBudget;
   routing::Router Router;
+  PeerServerTable PeerServers;
 };
 
 /// What the completion of a call says about its upstream.
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -84,10 +84,10 @@
     findWithinDeadline(Call);
     bool Trial = false;
     if (Upstream *Item = pickHealthy(Call, Trial))
-      return recordChoice(Call, *Item, Trial);
+      return recordChoice(Call, *Item, Trial, false);
     if (Upstream *Item = pickLastResort(Call)) {
       ++Counters.LastResorts;
-      return recordChoice(Call, *Item, false);
+      return recordChoice(Call, *Item, false, true);
     }
     if (Call.OverBudget)
       Budget.countRefusal(Table.topology().Region, Call.OverBudget->Region);
@@ -204,7 +204,25 @@
   return Best;
 }
 
+Upstream *Router::pickSoonestAvailable(Selection &Call) {
+  Upstream *Best = nullptr;
+  for (std::size_t LocalityIndex = 0; LocalityIndex < kLocalityCount;
+       ++LocalityIndex) {
+    if (!Call.WithinDeadline[LocalityIndex])
+      continue;
+    for (const std::size_t Index : Call.Group.ByLocality[LocalityIndex]) {
+      Upstream &Item = Table.at(Index);
+      if (isEligible(Call, Item, Eligibility::Limited) &&
+          (!Best || Item.AvailableAt < Best->AvailableAt))
+        Best = &Item;
+    }
+  }
+  return Best;
+}
+
 Upstream *Router::pickLastResort(Selection &Call) {
+  if (Upstream *Item = pickSoonestAvailable(Call))
+    return Item;
   for (const Eligibility Criterion :
        {Eligibility::Suspect, Eligibility::Ejected})
     for (std::size_t LocalityIndex = 0; LocalityIndex < kLocalityCount;
@@ -221,8 +239,10 @@
       Item.State != MemberState::Alive && Item.State != MemberState::Suspect;
   if (Unavailable || Item.RefusedAsDraining)
     return false;
-  const bool Healthy = Item.State == MemberState::Alive && !Item.Silent;
-  if (Criterion == Eligibility::Healthy && !Healthy)
+  if (Criterion == Eligibility::Healthy && Item.AvailableAt > Call.Now)
+    return false;
+  const bool Reachable = Item.State == MemberState::Alive && !Item.Silent;
+  if (Criterion <= Eligibility::Limited && !Reachable)
     return false;
   if (Criterion != Eligibility::Ejected && Item.Outlier.ejected())
     return false;
@@ -252,8 +272,8 @@
   return loadOf(A, Now) < loadOf(B, Now);
 }
 
-UpstreamChoice Router::recordChoice(Selection &Call, Upstream &Item,
-                                    bool Trial) {
+UpstreamChoice Router::recordChoice(Selection &Call, Upstream &Item, bool Trial,
+                                    bool LastResort) {
   ++Item.InFlight;
   ++Counters.Chosen[std::size_t(Item.Locality)];
   if (Trial) {
@@ -263,7 +283,8 @@
   if (Item.Locality == Locality::OtherRegion)
     Budget.charge(Table.topology().Region, Item.Region,
                   Call.Context.RequestBytes, Call.Now);
-  return {Item.Process, Item.Peer, Item.Region, Item.Locality, Trial};
+  return {Item.Process,  Item.Peer, Item.Region,
+          Item.Locality, Trial,     LastResort};
 }
 
 void Router::finish(const UpstreamChoice &Choice, const CallReport &Report,
@@ -284,6 +305,11 @@
   applyResult(*Item, Choice, Report.Result, Now);
 }
 
+void Router::setAvailableAt(const base::ProcessId &Process, base::BootTime At) {
+  if (Upstream *Item = Table.find(Process))
+    Item->AvailableAt = At;
+}
+
 void Router::applyResult(Upstream &Item, const UpstreamChoice &Choice,
                          CallResult Result, base::BootTime Now) {
   ServiceUpstreams &Group = *Table.service(Item.Service);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -22,8 +22,8 @@
   std::uint64_t Spilled = 0;
   /// Trial requests to ejected upstreams.
   std::uint64_t Trials = 0;
-  /// Calls sent to a suspect, silent or ejected upstream because no other was
-  /// available.
+  /// Calls sent to a suspect, silent or ejected upstream, or to one whose rate
+  /// limit is used up, because no other was available.
   std::uint64_t LastResorts = 0;
   std::uint64_t Ejections = 0;
   /// Calls for which no upstream could be chosen.
@@ -53,12 +53,17 @@
   void finish(const UpstreamChoice &Choice, const CallReport &Report,
               base::BootTime Now);
 
+  /// Records that the rate limit of an upstream allows no further call before
+  /// `At`. Other upstreams are preferred until then.
+  void setAvailableAt(const base::ProcessId &Process, base::BootTime At);
+
   const RouterCounters &counters() const { return Counters; }
 
 private:
-  /// Which upstreams may be chosen: `Healthy` ones only, `Suspect` or silent
-  /// ones as well, or also those that are `Ejected`.
-  enum class Eligibility : std::uint8_t { Healthy, Suspect, Ejected };
+  /// Which upstreams may be chosen: `Healthy` ones only, those whose rate limit
+  /// is used up (`Limited`) as well, those that are `Suspect` or silent as
+  /// well, or also those that are `Ejected`.
+  enum class Eligibility : std::uint8_t { Healthy, Limited, Suspect, Ejected };
 
   /// State while an upstream is chosen for one call.
   struct Selection {
@@ -79,8 +84,11 @@
   Upstream *pickHealthy(Selection &Call, bool &Trial);
   /// Chooses the locality, nearest first, and an upstream in it.
   Upstream *pickByLocality(Selection &Call);
-  /// Chooses a suspect or silent upstream, or else an ejected one.
+  /// Chooses an upstream whose rate limit is used up, a suspect or silent one,
+  /// or else an ejected one.
   Upstream *pickLastResort(Selection &Call);
+  /// Chooses the upstream whose rate limit allows a call soonest.
+  Upstream *pickSoonestAvailable(Selection &Call);
   /// Chooses an ejected upstream that is due for a trial, in one of the nearest
   /// `MaxLocalities` localities.
   Upstream *pickTrial(Selection &Call, std::size_t MaxLocalities);
@@ -94,7 +102,8 @@
   bool drawRampUp(Selection &Call, const Upstream &Item);
   bool lessLoaded(const Upstream &A, const Upstream &B,
                   base::BootTime Now) const;
-  UpstreamChoice recordChoice(Selection &Call, Upstream &Item, bool Trial);
+  UpstreamChoice recordChoice(Selection &Call, Upstream &Item, bool Trial,
+                              bool LastResort);
   void applyResult(Upstream &Item, const UpstreamChoice &Choice,
                    CallResult Result, base::BootTime Now);
   void eject(Upstream &Item, ServiceUpstreams &Group, bool Trial,
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -54,6 +54,8 @@
   routing::Locality Locality = routing::Locality::OwnDataCentre;
   /// Whether this is the single request that tests an ejected upstream.
   bool Trial = false;
+  /// Whether no upstream is known that could run the call at once.
+  bool LastResort = false;
 };
 
 /// Result of a call, as seen by this daemon.
--- a/src/routing/upstreamtable.h
+++ b/src/routing/upstreamtable.h
@@ -29,6 +29,8 @@
   bool Silent = false;
   /// It refused a call because it is draining, before membership reported that.
   bool RefusedAsDraining = false;
+  /// Time before which its rate limit allows no further call.
+  base::BootTime AvailableAt;
   /// Number of calls that it runs concurrently; 0 until it has reported it.
   std::uint32_t Slots = 0;
   /// Calls of this daemon that have not completed.
