Stop using a backend server that says in its responses that it is leaving

What callers and servers saw: a server that says Server-Leaving: 1 in its answers kept getting requests until its heartbeat or its deregistration said so too; those may come late, or never.

Cause: the same as for the stated limit: the header was passed on and not acted upon.

Change: the serving daemon stops using the process that said so as soon as the response headers arrive, whatever later reports say; only another process of the server ends that. Calling daemons are told by ServerNotice and remind the serving daemon, so its restart changes nothing. The same covers a shutdown that was acknowledged by a heartbeat or a deregistration before the restart: a late heartbeat no longer brings the server back if a daemon knows better.

--- a/src/relay/callexecutor.h
+++ b/src/relay/callexecutor.h
@@ -88,6 +88,11 @@
 
   void logServer() const;
   void replaceLimit(std::uint32_t Slots);
+  /// Handles a shutdown that the server stated in a response, directly or as
+  /// reported by another daemon.
+  void onStatedShutdown(const ServerIncarnation &Process, const char *Source);
+  /// Refuses queued calls, since the server is shutting down.
+  void stopUsingServer(const char *Source);
   ServerNotice currentNotice();
   void refuseQueued(base::ErrorKind Kind);
   /// Whether the rate limit will not allow a new call within `MaxWait`, given
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -117,11 +117,26 @@
 bool CallExecutor::onServerLeaving(const std::string &Id) {
   if (!Server.markLeaving(Id))
     return false;
-  Log.state("server_leaving", {{"server", Id}});
-  refuseQueued(base::ErrorKind::NoUpstream);
+  stopUsingServer("deregistered");
   return true;
 }
 
+void CallExecutor::onStatedShutdown(const ServerIncarnation &Process,
+                                    const char *Source) {
+  if (!Server.leaving() && Server.markLeaving(Process))
+    stopUsingServer(Source);
+}
+
+void CallExecutor::stopUsingServer(const char *Source) {
+  const ServerIncarnation &Process = Server.latestReport()->Server;
+  Log.state("server_leaving", {{"server", Process.Id},
+                               {"born", Process.StartTimeMillis},
+                               {"source", Source},
+                               {"queued", Queued.size()},
+                               {"running", Running.size()}});
+  refuseQueued(base::ErrorKind::NoUpstream);
+}
+
 /// Calls in flight count towards the new limit too.
 void CallExecutor::replaceLimit(std::uint32_t Slots) {
   const std::uint32_t InFlight = Limit->inFlight();
@@ -137,6 +152,8 @@
     return;
   if (Reminder.RateLimit)
     RateLimit.adopt(*Reminder.RateLimit);
+  if (Reminder.Leaving)
+    onStatedShutdown(Reminder.Server, "reminder");
 }
 
 ServerNotice CallExecutor::currentNotice() {
@@ -144,6 +161,7 @@
   if (Server.latestReport() != nullptr)
     Result.Server = Server.latestReport()->Server;
   Result.RateLimit = RateLimit.rate();
+  Result.Leaving = Server.leaving();
   Result.AvailableAfterMicros =
       microseconds(RateLimit.inviteAfter(Queue.size()));
   return Result;
@@ -346,6 +364,8 @@
           .has_value();
   if (Stated.RateLimit || (!Stated.Malformed && !NotExecuted))
     RateLimit.observe(Stated.RateLimit, Call.StartedAt);
+  if (Stated.Leaving)
+    onStatedShutdown(Call.Server, "response");
 }
 
 void CallExecutor::onExchangeCompleted(const base::CallId &Id,
