Give up responses without an end early, with bounded memory

Cause: libcurl skips the extensions of chunk sizes, whatever their length, and hands trailers on line by line without a bound, so such a transfer kept the daemon's thread busy until its deadline. A body was bounded by 64 MiB for each transfer only, which is twice what a frame between daemons may hold and, over 58 slots, more than the memory of any instance. Trailers were appended to the headers, so they could have supplied a missing signature.

Change: header lines, interim responses and trailers together are bounded by 128 KiB; trailers are dropped; 256 KiB that are neither header lines nor body end the transfer; the backend server's response is bounded by 8 MiB and all that are being received by 32 MiB, 256 KiB each guaranteed. The connection is closed, the outcome is unknown, and the slot and the caller are freed.

--- a/src/http/asyncclient.h
+++ b/src/http/asyncclient.h
@@ -36,6 +36,9 @@
 struct AsyncClientSettings {
   /// Limit on pooled idle connections to all servers together.
   long MaxIdleConnections = 128;
+  /// Limit on the bodies of all responses that are being received. Beyond it, a
+  /// transfer whose body is larger than 256 KiB completes with `Broken`.
+  std::size_t MaxBodyBytes = std::size_t{64} << 20;
 };
 
 /// An HTTP/1.1 client over libcurl's multi interface on an event loop. A
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -2,12 +2,14 @@
 
 #include "http/internal/curlsupport.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -17,6 +19,24 @@
 
 /// Size of the receive buffer of each transfer.
 constexpr long kReceiveBufferBytes = 8 << 10;
+/// Bytes that may arrive without a complete header line or a byte of a body.
+/// libcurl skips the extensions of chunk sizes, whatever their length.
+constexpr std::uint64_t kMaxSkippedBytes = 256 << 10;
+/// The bytes are counted after this many reads without progress, since counting
+/// costs a system call.
+constexpr int kReadsPerCheck = 8;
+
+/// Bytes received on a connection since it was opened; 0 if the system doesn't
+/// tell.
+std::uint64_t bytesReceived(int Socket) {
+  tcp_info Info{};
+  socklen_t Length = sizeof(Info);
+  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Length) != 0 ||
+      Length < offsetof(tcp_info, tcpi_bytes_received) +
+                   sizeof(Info.tcpi_bytes_received))
+    return 0;
+  return Info.tcpi_bytes_received;
+}
 
 struct Transfer {
   TransferId Id;
@@ -28,6 +48,12 @@
   AsyncClient::Callback Done;
   /// libcurl has started to send the request.
   bool SendStarted = false;
+  /// Header and body bytes when the last progress was seen, and the reads since
+  /// then.
+  std::size_t ParsedBytes = 0;
+  int ReadsWithoutProgress = 0;
+  /// Bytes received on the connection at the first check since then.
+  std::optional<std::uint64_t> ReceivedBytes;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -37,6 +63,25 @@
   }
 };
 
+/// Whether the server keeps sending bytes that belong to no response; must be
+/// called after each read from the transfer's socket.
+bool sendsUnusableBytes(Transfer &Current, int Socket) {
+  const std::size_t Parsed =
+      Current.Collector.HeaderBytes + Current.Collector.Response.Body.size();
+  if (Parsed != Current.ParsedBytes) {
+    Current.ParsedBytes = Parsed;
+    Current.ReadsWithoutProgress = 0;
+    Current.ReceivedBytes.reset();
+    return false;
+  }
+  if (++Current.ReadsWithoutProgress % kReadsPerCheck != 0)
+    return false;
+  const std::uint64_t Received = bytesReceived(Socket);
+  if (!Current.ReceivedBytes)
+    Current.ReceivedBytes = Received;
+  return Received > *Current.ReceivedBytes + kMaxSkippedBytes;
+}
+
 /// Called by libcurl before it sends the request. libcurl repeats a request
 /// when a reused connection turns out to be closed; this aborts the second
 /// attempt.
@@ -61,6 +106,7 @@
 
   eventloop::EventLoop &Loop;
   CURLM *Multi = nullptr;
+  BodyBudget Budget;
   std::uint64_t NextId = 1;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> Transfers;
   eventloop::TimerId Timer;
@@ -98,8 +144,24 @@
       Result.Status = ExchangeStatus::Broken;
   }
 
-  static int onSocket(CURL *, curl_socket_t Socket, int PollAction, void *Self,
-                      void *) {
+  /// Ends a transfer whose server sends bytes without an end that belong to no
+  /// response, and closes its connection.
+  void checkProgress(TransferId Id, curl_socket_t Socket) {
+    const auto Found = Transfers.find(Id);
+    if (Found == Transfers.end() || !sendsUnusableBytes(*Found->second, Socket))
+      return;
+    const std::unique_ptr<Transfer> Ended = std::move(Found->second);
+    Transfers.erase(Found);
+    curl_multi_remove_handle(Multi, Ended->Handle);
+    ExchangeResult Result;
+    Result.Status = ExchangeStatus::Broken;
+    Result.Detail = "bytes that belong to no response";
+    Ended->Done(std::move(Result));
+  }
+
+  // libcurl calls this again for each transfer that uses the connection.
+  static int onSocket(CURL *Handle, curl_socket_t Socket, int PollAction,
+                      void *Self, void *) {
     auto &Impl = *static_cast<State *>(Self);
     if (PollAction == CURL_POLL_REMOVE) {
       Impl.Loop.unwatch(Socket);
@@ -110,7 +172,10 @@
       Events |= EPOLLIN;
     if ((PollAction & CURL_POLL_OUT) != 0)
       Events |= EPOLLOUT;
-    Impl.Loop.watch(Socket, Events, [&Impl, Socket](std::uint32_t Ready) {
+    Transfer *Current = nullptr;
+    curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Current);
+    const TransferId Id = Current->Id;
+    Impl.Loop.watch(Socket, Events, [&Impl, Socket, Id](std::uint32_t Ready) {
       int Mask = 0;
       if ((Ready & (EPOLLIN | EPOLLHUP)) != 0)
         Mask |= CURL_CSELECT_IN;
@@ -119,6 +184,8 @@
       if ((Ready & EPOLLERR) != 0)
         Mask |= CURL_CSELECT_ERR;
       Impl.runSocketAction(Socket, Mask);
+      if ((Ready & EPOLLIN) != 0)
+        Impl.checkProgress(Id, Socket);
     });
     return 0;
   }
@@ -156,6 +223,7 @@
                          AsyncClientSettings Settings)
     : Impl(std::make_unique<State>(Loop)) {
   initializeCurl();
+  Impl->Budget.Max = Settings.MaxBodyBytes;
   Impl->Multi = curl_multi_init();
   curl_multi_setopt(Impl->Multi, CURLMOPT_SOCKETFUNCTION, &State::onSocket);
   curl_multi_setopt(Impl->Multi, CURLMOPT_SOCKETDATA, Impl.get());
@@ -186,6 +254,7 @@
   if (!Message.Query.empty())
     Current.RequestTarget += "?" + Message.Query;
   Current.Collector.MaxBytes = Options.MaxResponseBytes;
+  Current.Collector.Budget = &Impl->Budget;
   Current.Collector.AllowReuse = Options.AllowReuse;
   Current.Collector.OnHeaders = Options.OnHeaders;
   Current.Collector.Handle = Current.Handle;
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -8,11 +8,30 @@
 
 namespace {
 
+/// Body bytes of each response that are accepted even if the budget of the
+/// client is used up, so that large bodies don't keep out the others.
+constexpr std::size_t kGuaranteedBodyBytes = 256 << 10;
+
+/// Whether the response may hold this many more bytes of a body.
+bool reserveBody(ResponseCollector &Collector, std::size_t Bytes) {
+  const std::size_t Size = Collector.Response.Body.size() + Bytes;
+  if (Size > Collector.MaxBytes)
+    return false;
+  BodyBudget *Budget = Collector.Budget;
+  if (Budget == nullptr)
+    return true;
+  if (Size > kGuaranteedBodyBytes && Budget->Used + Bytes > Budget->Max)
+    return false;
+  Budget->Used += Bytes;
+  Collector.BudgetedBytes += Bytes;
+  return true;
+}
+
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Context) {
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   const std::size_t Bytes = Size * Count;
-  if (Collector.Response.Body.size() + Bytes > Collector.MaxBytes) {
+  if (!reserveBody(Collector, Bytes)) {
     Collector.TooLarge = true;
     return 0;
   }
@@ -21,6 +40,8 @@
 }
 
 constexpr std::uint16_t kFirstFinalStatus = 200;
+/// Upper bound of all header lines of a response, in bytes.
+constexpr std::size_t kMaxHeaderBytes = 128 << 10;
 
 /// Status in a status line, such as `HTTP/1.1 200 OK`; 0 if there is none.
 std::uint16_t statusIn(std::string_view Line) {
@@ -35,7 +56,10 @@
 void onHeadersComplete(ResponseCollector &Collector) {
   if (Collector.AllowReuse && !Collector.AllowReuse(Collector.Response))
     curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
-  if (Collector.OnHeaders && Collector.Response.Status >= kFirstFinalStatus)
+  if (Collector.Response.Status < kFirstFinalStatus)
+    return;
+  Collector.HeadersComplete = true;
+  if (Collector.OnHeaders)
     Collector.OnHeaders(Collector.Response);
 }
 
@@ -43,6 +67,14 @@
                      void *Context) {
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   const std::string_view Line(Data, Size * Count);
+  Collector.HeaderBytes += Line.size();
+  if (Collector.HeaderBytes > kMaxHeaderBytes) {
+    Collector.TooLarge = true;
+    return 0;
+  }
+  // What follows are trailers. They must not replace missing headers.
+  if (Collector.HeadersComplete)
+    return Line.size();
   // Each status line starts a new set of headers; those of an interim (1xx)
   // response are dropped.
   if (Line.starts_with("HTTP/")) {
@@ -72,6 +104,11 @@
 
 } // namespace
 
+ResponseCollector::~ResponseCollector() {
+  if (Budget != nullptr)
+    Budget->Used -= BudgetedBytes;
+}
+
 void initializeCurl() {
   static std::once_flag Once;
   std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -14,11 +14,31 @@
 /// Initializes libcurl once per process.
 void initializeCurl();
 
+/// Memory for the bodies of all responses of a client, in bytes.
+struct BodyBudget {
+  std::size_t Max = 0;
+  std::size_t Used = 0;
+};
+
 /// Collects a response from libcurl's callbacks.
 struct ResponseCollector {
+  ResponseCollector() = default;
+  ResponseCollector(const ResponseCollector &) = delete;
+  ~ResponseCollector();
+
   http::Response Response;
+  /// Upper bound of the body.
   std::size_t MaxBytes = 0;
+  /// May be null.
+  BodyBudget *Budget = nullptr;
+  /// Bytes of this response in `Budget`.
+  std::size_t BudgetedBytes = 0;
   bool TooLarge = false;
+  /// Bytes of header lines received so far: of interim responses, of the
+  /// response and of its trailers, which are dropped.
+  std::size_t HeaderBytes = 0;
+  /// The headers of the final response are complete.
+  bool HeadersComplete = false;
   /// See `TransferOptions`; may be empty.
   std::function<bool(const http::Response &)> AllowReuse;
   /// See `TransferOptions`; may be empty.
--- /dev/null
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -0,0 +1,178 @@
+#include "http/asyncclient.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Server that answers each request with a prefix and then repeats a text until
+/// the client closes the connection.
+class EndlessServer {
+public:
+  EndlessServer(std::string Prefix, std::string Repeated)
+      : Prefix(std::move(Prefix)), Repeated(std::move(Repeated)),
+        Listening(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+    socklen_t Length = sizeof(Address);
+    REQUIRE(bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length) ==
+            0);
+    listen(Listening, 8);
+    getsockname(Listening, reinterpret_cast<sockaddr *>(&Address), &Length);
+    Url = "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+    Worker = std::thread([this] { serve(); });
+  }
+
+  ~EndlessServer() {
+    shutdown(Listening, SHUT_RDWR);
+    Worker.join();
+    close(Listening);
+  }
+
+  std::string Url;
+  std::atomic<std::size_t> BytesSent = 0;
+  std::atomic<int> ClosedByClient = 0;
+
+private:
+  void serve() {
+    for (;;) {
+      const int Socket = accept(Listening, nullptr, nullptr);
+      if (Socket < 0)
+        return;
+      char Buffer[4096];
+      (void)!read(Socket, Buffer, sizeof(Buffer));
+      std::string Block = Prefix;
+      while (Block.size() < kBlockBytes)
+        Block += Repeated;
+      std::string Next;
+      while (Next.size() < kBlockBytes)
+        Next += Repeated;
+      while (send(Socket, Block.data(), Block.size(), MSG_NOSIGNAL) > 0) {
+        BytesSent += Block.size();
+        Block = Next;
+      }
+      ++ClosedByClient;
+      close(Socket);
+    }
+  }
+
+  static constexpr std::size_t kBlockBytes = 64 << 10;
+
+  const std::string Prefix;
+  const std::string Repeated;
+  const int Listening;
+  std::thread Worker;
+};
+
+constexpr std::size_t kMaxBodyBytes = 1 << 20;
+/// Bytes that the server may send at most: the body, and what the buffers of
+/// both sockets hold.
+constexpr std::size_t kMaxSentBytes = 32 << 20;
+
+} // namespace
+
+// Guards against memory that grows until a deadline, and against a processor
+// that is busy until then, because a server sends bytes that are no response.
+TEST_CASE("a response without an end is given up early") {
+  std::string Prefix = "HTTP/1.1 200 OK\r\n";
+  std::string Repeated;
+  SUBCASE("header lines") { Repeated = "X-More: 1234567890\r\n"; }
+  SUBCASE("one header line") {
+    Prefix += "X-Long: ";
+    Repeated = "0123456789";
+  }
+  SUBCASE("interim responses") {
+    Prefix = "";
+    Repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  SUBCASE("a body without a length") {
+    Prefix += "\r\n";
+    Repeated = "0123456789";
+  }
+  SUBCASE("chunks") {
+    Prefix += "Transfer-Encoding: chunked\r\n\r\n";
+    Repeated = "a\r\n0123456789\r\n";
+  }
+  SUBCASE("a chunk size") {
+    Prefix += "Transfer-Encoding: chunked\r\n\r\n";
+    Repeated = "0";
+  }
+  SUBCASE("a chunk extension") {
+    Prefix += "Transfer-Encoding: chunked\r\n\r\na;";
+    Repeated = "extension";
+  }
+  SUBCASE("trailers") {
+    Prefix += "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    Repeated = "X-Trailer: 1234567890\r\n";
+  }
+  SUBCASE("bytes that are not HTTP") {
+    Prefix = "";
+    Repeated = "nonsense";
+  }
+  EndlessServer Server(Prefix, Repeated);
+  base::SystemClock Clock;
+  eventloop::EventLoop Loop(Clock);
+  http::AsyncClient Client(Loop);
+  http::Request Message;
+  Message.Method = "GET";
+  Message.Path = "/";
+  http::TransferOptions Options;
+  Options.MaxResponseBytes = kMaxBodyBytes;
+  std::optional<http::ExchangeResult> Completed;
+  const base::BootTime Started = Clock.now();
+  Client.start(Server.Url, Message, Options, [&](http::ExchangeResult Result) {
+    Completed = std::move(Result);
+    Loop.stop();
+  });
+  Loop.run();
+  REQUIRE(Completed);
+  CHECK(Completed->Status == http::ExchangeStatus::Broken);
+  CHECK(!Completed->Detail.empty());
+  CHECK(Clock.now() - Started < 5s);
+  CHECK(Completed->Response.Body.size() <= kMaxBodyBytes);
+  while (Server.ClosedByClient == 0 && Clock.now() - Started < 8s)
+    std::this_thread::sleep_for(5ms);
+  CHECK(Server.ClosedByClient == 1);
+  CHECK(Server.BytesSent <= kMaxSentBytes);
+}
+
+// Guards against memory that grows with the number of such responses.
+TEST_CASE("the bodies of all responses together are bounded") {
+  const std::string Prefix = "HTTP/1.1 200 OK\r\n\r\n";
+  EndlessServer Servers[] = {{Prefix, "0123456789"}, {Prefix, "0123456789"}};
+  base::SystemClock Clock;
+  eventloop::EventLoop Loop(Clock);
+  http::AsyncClientSettings Settings;
+  Settings.MaxBodyBytes = kMaxBodyBytes;
+  http::AsyncClient Client(Loop, Settings);
+  http::Request Message;
+  Message.Method = "GET";
+  Message.Path = "/";
+  http::TransferOptions Options;
+  Options.MaxResponseBytes = 64 * kMaxBodyBytes;
+  std::vector<std::size_t> Sizes;
+  for (const EndlessServer &Each : Servers)
+    Client.start(Each.Url, Message, Options, [&](http::ExchangeResult Result) {
+      CHECK(Result.Status == http::ExchangeStatus::Broken);
+      CHECK(Result.Detail == "response too large");
+      Sizes.push_back(Result.Response.Body.size());
+      if (Sizes.size() == std::size(Servers))
+        Loop.stop();
+    });
+  Loop.run();
+  for (const std::size_t Size : Sizes)
+    CHECK(Size <= kMaxBodyBytes);
+}
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -23,6 +23,11 @@
 /// The server may close a connection up to this much before the time that it
 /// states, since it states whole seconds.
 constexpr base::Duration kIdleMargin = 1s;
+/// Largest response of the backend server, and the memory for the bodies of all
+/// responses that are being received. A response must fit into one frame
+/// between daemons (`transport::kMaxFrameBytes`).
+constexpr std::size_t kMaxResponseBytes = std::size_t{8} << 20;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{32} << 20;
 /// Interval of the work in `tick` that need not be done on each tick.
 constexpr base::Duration kMaintenanceInterval = 1s;
 /// Upper bound of the queue time, in case the entry daemon, which normally
@@ -75,7 +80,8 @@
                            CallCorrelator &Correlator,
                            const LocalServerState &InitialState)
     : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
-      Peers(Peers), Correlator(Correlator), Client(Loop), Server(InitialState),
+      Peers(Peers), Correlator(Correlator),
+      Client(Loop, {.MaxBodyBytes = kMaxBufferedBytes}), Server(InitialState),
       LoadMonitor(Loop.clock(), Metrics, Log),
       Executions(Loop.clock(), this->Settings.Self),
       Queue(Loop.clock(), {kQueueLength, kMaxQueueTime}),
@@ -317,6 +323,7 @@
   http::TransferOptions Options;
   Options.Timeout = std::max<base::Duration>(Remaining, 1ms);
   Options.MaxIdleTime = MaxIdleTime;
+  Options.MaxResponseBytes = kMaxResponseBytes;
   Options.AllowReuse =
       [this, Attempt = NewCall.AttemptId](const http::Response &Received) {
         const auto Echo =
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -320,6 +320,56 @@
   CHECK(Test.requestCount() == 2);
 }
 
+// Guards against a server whose bytes without an end hold its slot, the caller
+// or the memory of the daemon.
+TEST_CASE("a response without an end frees the slot and the caller") {
+  const std::string Block(1 << 16, 'x');
+  std::function<std::string(const std::string &)> Respond;
+  std::uint16_t ExpectedStatus = 502;
+  SUBCASE("after a whole response") {
+    Respond = [&](const std::string &Request) {
+      return successFor(Request, "whole") + Block;
+    };
+    ExpectedStatus = 200;
+  }
+  SUBCASE("in a body without a length") {
+    Respond = [&](const std::string &Request) {
+      return "HTTP/1.1 200 OK\r\nAttempt: " + headerIn(Request, "Attempt") +
+             "\r\nSignature: s\r\n\r\n" + Block;
+    };
+  }
+  SUBCASE("in the headers") {
+    Respond = [&](const std::string &) {
+      return "HTTP/1.1 200 OK\r\nX: " + Block;
+    };
+  }
+  ScriptedBackend Front(&succeed);
+  std::atomic<bool> Endless = true;
+  ScriptedBackend Back([&](const std::string &Request) {
+    return Endless
+               ? ScriptedBackend::Reaction{Respond(Request), false, false, true}
+               : succeed(Request);
+  });
+  TestFleet Fleet;
+  Fleet.addDaemon("front", Front.url());
+  Fleet.addDaemon("back", Back.url(), 1);
+  auto Policy = simplePolicy("back");
+  for (config::HostRoute &Each : Policy.Routes)
+    Each.Timeout = 5s;
+  Fleet.publish(Policy);
+  Fleet.waitUntilConnected();
+  const auto Started = std::chrono::steady_clock::now();
+  const auto Result = Fleet.sendAndWait(0, callerRequest("POST", "/once/x"));
+  CHECK(Result.Response.Status == ExpectedStatus);
+  CHECK(Result.Response.Body.size() < 100);
+  Endless = false;
+  const auto Next =
+      Fleet.sendAndWait(0, callerRequest("POST", "/once/x", "next"));
+  CHECK(Next.Response.Status == 200);
+  CHECK(Next.Response.Body == "done");
+  CHECK(std::chrono::steady_clock::now() - Started < 2s);
+}
+
 TEST_CASE("error responses of the server are forwarded unchanged") {
   const ScriptedBackend::Script Fail = [](const std::string &Request) {
     return ScriptedBackend::Reaction{
--- a/src/relay/tests/scriptedbackend.cpp
+++ b/src/relay/tests/scriptedbackend.cpp
@@ -77,7 +77,13 @@
       Requests.push_back(Request);
     }
     const Reaction Chosen = React(Request);
-    (void)!send(Socket, Chosen.Bytes.data(), Chosen.Bytes.size(), MSG_NOSIGNAL);
+    ssize_t Sent = 0;
+    do
+      Sent =
+          send(Socket, Chosen.Bytes.data(), Chosen.Bytes.size(), MSG_NOSIGNAL);
+    while (Chosen.Endless && Sent > 0);
+    if (Chosen.Endless)
+      return;
     if (Chosen.Hang) {
       while (read(Socket, Buffer.data(), Buffer.size()) > 0) {
       }
--- a/src/relay/tests/scriptedbackend.h
+++ b/src/relay/tests/scriptedbackend.h
@@ -19,6 +19,8 @@
     /// Wait until the client closes the connection instead of reading further
     /// requests.
     bool Hang = false;
+    /// Repeat `Bytes` until the client closes the connection.
+    bool Endless = false;
   };
   using Script = std::function<Reaction(const std::string &Request)>;
 
