Don't take a late refusal for that of the next request on its connection

What a caller could see: 503 with the promise 'not run' for a request that its server ran; the caller of a payment would send it again.

Cause: a refusal (X-Not-Executed) without an attempt id was attributed to the request in progress on any connection. A second copy of an earlier refusal that arrives late on a reused connection looks the same. Operators of similar systems reported late second answers; the check of the id covered all answers but this one. Evidence: the new test failed before (503 not-run, expected 502 unknown).

Change: a refusal without an id counts only if its request was the first on the connection, and a connection with such a response is not used again.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -27,6 +27,8 @@
   http::Response Response;
   /// Description of a failure for logs; empty on success.
   std::string Detail;
+  /// The request was the first one on its connection.
+  bool NewConnection = false;
 };
 
 struct ExchangeOptions {
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -186,6 +186,9 @@
         Collector.TooLarge ? "response too large" : curl_easy_strerror(Code);
   long Status = 0;
   curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+  long Connects = 0;
+  curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Connects);
+  Result.NewConnection = Connects > 0;
   Result.Response = std::move(Collector.Response);
   Result.Response.Status = static_cast<std::uint16_t>(Status);
   return Result;
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -326,9 +326,8 @@
   Options.MaxResponseBytes = kMaxResponseBytes;
   Options.AllowReuse =
       [this, Attempt = NewCall.AttemptId](const http::Response &Received) {
-        const auto Echo =
-            http::findHeader(Received.Headers, Settings.Headers.AttemptId);
-        return !Echo || *Echo == Attempt;
+        return http::findHeader(Received.Headers, Settings.Headers.AttemptId)
+                   .value_or("") == Attempt;
       };
   Options.OnHeaders = [this, Id](const http::Response &Received) {
     onResponseHeaders(Id, Received);
@@ -421,7 +420,10 @@
   const bool NotExecuted =
       Received.Status == kMisdirectedRequest ||
       http::findHeader(Received.Headers, Names.NotExecuted).has_value();
-  if (Echo ? *Echo != Call.AttemptId : !NotExecuted)
+  // A response without an id may be a late copy of an earlier one, unless
+  // nothing was sent on its connection before.
+  const bool IsFirstRefusal = !Echo && NotExecuted && Exchange.NewConnection;
+  if (Echo.value_or("") != Call.AttemptId && !IsFirstRefusal)
     return Failed(ErrorKind::OutcomeUnknown, Outcome::Unknown,
                   "the response does not echo the attempt id of the request");
   if (NotExecuted) {
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -220,6 +220,33 @@
   }
 }
 
+// Guards against a second copy of a refusal, late on a connection that is used
+// again, that is taken for the refusal of the next request: that one runs.
+TEST_CASE("a refusal without an attempt id on a reused connection proves "
+          "nothing") {
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> Calls = 0;
+  ScriptedBackend Server([&](const std::string &Request) {
+    return Calls++ == 0 ? succeed(Request) : ScriptedBackend::Reaction{Refusal};
+  });
+  TestFleet Fleet;
+  Fleet.addDaemon("back", Server.url(), 1);
+  Fleet.publish(simplePolicy("back"));
+  CHECK(
+      Fleet.sendAndWait(0, callerRequest("POST", "/once/x")).Response.Status ==
+      200);
+  const auto Result =
+      Fleet.sendAndWait(0, callerRequest("POST", "/once/x", "next"));
+  CHECK(Result.Response.Status == 502);
+  CHECK(outcomeOf(Result) == "unknown");
+  // On a new connection, nothing can precede the refusal of the request.
+  const auto Fresh =
+      Fleet.sendAndWait(0, callerRequest("POST", "/once/x", "fresh"));
+  CHECK(Fresh.Response.Status == 503);
+  CHECK(outcomeOf(Fresh) == "not-run");
+}
+
 // Guards against reporting "not run" for a request that a server may still run,
 // and against a response after the deadline.
 TEST_CASE("a request to a hanging server fails at the route's timeout") {
