Wait for responses to be sent before a planned stop ends the process

Cause: Daemon::drain counted a request as completed when its handler had returned. libmicrohttpd sends the response after that, and stopping its server closes the connection.

Change: http::Server counts a request from its first line until its response has been sent, and the stop waits for these.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -11,9 +11,11 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace http {
 
@@ -84,20 +86,6 @@
   return MHD_YES;
 }
 
-/// Called with the request target before the headers are parsed. The result
-/// becomes the request's context.
-void *onUri(void *, const char *Uri, MHD_Connection *) {
-  auto Pending = std::make_unique<PendingRequest>();
-  splitTarget(Uri, Pending->Received);
-  return Pending.release();
-}
-
-void onCompleted(void *, MHD_Connection *, void **Context,
-                 MHD_RequestTerminationCode) {
-  delete static_cast<PendingRequest *>(*Context);
-  *Context = nullptr;
-}
-
 } // namespace
 
 struct Server::State {
@@ -105,6 +93,25 @@
   Handler *RequestHandler = nullptr;
   MHD_Daemon *Daemon = nullptr;
   std::uint16_t Port = 0;
+  std::atomic<std::size_t> OpenRequests = 0;
+
+  /// Called with the request target before the headers are parsed. The result
+  /// becomes the request's context.
+  static void *onUri(void *Self, const char *Uri, MHD_Connection *) {
+    auto Pending = std::make_unique<PendingRequest>();
+    splitTarget(Uri, Pending->Received);
+    ++static_cast<State *>(Self)->OpenRequests;
+    return Pending.release();
+  }
+
+  /// Called when the response has been sent or the connection is lost.
+  static void onCompleted(void *Self, MHD_Connection *, void **Context,
+                          MHD_RequestTerminationCode) {
+    if (*Context == nullptr)
+      return;
+    delete static_cast<PendingRequest *>(std::exchange(*Context, nullptr));
+    --static_cast<State *>(Self)->OpenRequests;
+  }
 
   MHD_Result onHeaders(MHD_Connection *Connection, PendingRequest &Pending,
                        const char *Method) const {
@@ -185,9 +192,10 @@
       MHD_OPTION_CONNECTION_LIMIT, Settings.MaxConnections,
       MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
       MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes,
-      MHD_OPTION_URI_LOG_CALLBACK, &onUri, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-      &onCompleted, nullptr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-      MHD_OPTION_ARRAY, TlsOptions.data(), MHD_OPTION_END);
+      MHD_OPTION_URI_LOG_CALLBACK, &State::onUri, Impl.get(),
+      MHD_OPTION_NOTIFY_COMPLETED, &State::onCompleted, Impl.get(),
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY,
+      TlsOptions.data(), MHD_OPTION_END);
   if (Impl->Daemon == nullptr)
     return base::fail(base::ErrorKind::Internal,
                       "can't listen on " + Settings.Ip + ":" +
@@ -204,6 +212,8 @@
 
 std::uint16_t Server::port() const { return Impl->Port; }
 
+std::size_t Server::openRequests() const { return Impl->OpenRequests; }
+
 void Server::stopAccepting() {
   const int Listening = MHD_quiesce_daemon(Impl->Daemon);
   if (Listening < 0)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -57,6 +57,10 @@
 
   std::uint16_t port() const;
 
+  /// Number of requests that are being received or handled, or whose response
+  /// has not been sent completely.
+  std::size_t openRequests() const;
+
   /// Stops accepting connections; open ones continue to be served. Blocks for
   /// about 100 ms.
   void stopAccepting();
--- a/src/node/internal/daemon.cpp
+++ b/src/node/internal/daemon.cpp
@@ -295,8 +295,10 @@
   State.Control->announceLeaving(membership::MemberState::Draining);
   State.Entry->startDraining();
   const base::BootTime Started = State.Shared.Clock.now();
+  // The server counts a request until its response is sent, which is after the
+  // handler has returned.
   const auto CountOpen = [&State] {
-    return State.Entry->openRequests() + State.Serving->openCalls();
+    return State.CallerServer->openRequests() + State.Serving->openCalls();
   };
   // Callers and peers learn of the drain while this daemon still serves them.
   while (State.Shared.Clock.now() - Started < State.Settings.DrainTime)
--- a/tests/backend/backendstandin.cpp
+++ b/tests/backend/backendstandin.cpp
@@ -33,6 +33,8 @@
     Journal.open(Settings.Journal, std::ios::app);
   http::ServerSettings Listening;
   Listening.Port = Settings.Port;
+  // The largest body that a daemon can be set to accept.
+  Listening.MaxBodyBytes = std::size_t{16} << 20;
   Server = http::Server::start(Listening, *this).value();
 }
 
