--- a/src/http/asyncserver.h
+++ b/src/http/asyncserver.h
@@ -76,6 +76,10 @@
   /// Number of requests without a response yet.
   std::size_t pendingExchanges() const;
 
+  /// Number of connections on which a request is being received or handled, or
+  /// a response has not been sent completely.
+  std::size_t busyConnections() const;
+
 private:
   struct State;
   explicit AsyncServer(std::unique_ptr<State> Impl);
--- a/src/http/internal/asyncserver.cpp
+++ b/src/http/internal/asyncserver.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -218,4 +219,10 @@
   return Impl->PendingExchanges.size();
 }
 
+std::size_t AsyncServer::busyConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(Impl->Sockets.begin(), Impl->Sockets.end(),
+                    [](const auto &Each) { return Each.second->busy(); }));
+}
+
 } // namespace http
--- a/src/http/internal/callersocket.h
+++ b/src/http/internal/callersocket.h
@@ -59,6 +59,13 @@
   bool wantsRead() const;
   bool wantsWrite() const { return WriteOffset < WriteBuffer.size(); }
 
+  /// Whether a request is being received or handled, or response bytes are not
+  /// sent yet.
+  bool busy() const {
+    return !Exchanges.empty() || wantsWrite() ||
+           (!WriteClosed && (RequestParser != nullptr || !ReadBuffer.empty()));
+  }
+
   /// Whether the caller has not closed its side in time after the last
   /// response, or the connection has been idle for too long.
   bool expired(const CallerLimits &Limits, base::BootTime Now) const;
--- a/tests/process/stoptest.cpp
+++ b/tests/process/stoptest.cpp
@@ -1,16 +1,8 @@
 #include "process/faultmatrix.h"
+#include "process/slowcaller.h"
 
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
-
-#include <array>
-
 using namespace process;
 
 namespace {
@@ -27,57 +19,6 @@
 /// Exceeds what the sockets of a connection with a small receive buffer hold.
 constexpr std::size_t kSlowBodyBytes = 8'000'000;
 
-/// Sends a request and reads the response only when told to.
-class SlowCaller {
-public:
-  SlowCaller(const std::string &Url, const std::string &Path,
-             std::size_t BodyBytes)
-      : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    const int ReceiveBytes = 4096;
-    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
-               sizeof(ReceiveBytes));
-    const timeval Limit{kWaitLimit.count(), 0};
-    setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
-    sockaddr_in Target{};
-    Target.sin_family = AF_INET;
-    Target.sin_port = htons(
-        static_cast<std::uint16_t>(std::stoul(Url.substr(Url.rfind(':') + 1))));
-    Target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(connect(Socket, reinterpret_cast<const sockaddr *>(&Target),
-                    sizeof(Target)) == 0);
-    const std::string Request =
-        "POST " + Path + " HTTP/1.1\r\nHost: test\r\nContent-Length: " +
-        std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
-    for (std::size_t Sent = 0; Sent < Request.size();) {
-      const ssize_t Count = ::send(Socket, Request.data() + Sent,
-                                   Request.size() - Sent, MSG_NOSIGNAL);
-      REQUIRE(Count > 0);
-      Sent += static_cast<std::size_t>(Count);
-    }
-  }
-  SlowCaller(const SlowCaller &) = delete;
-  ~SlowCaller() { close(Socket); }
-
-  /// Waits for the first byte of the response.
-  bool waitForResponse() const {
-    pollfd Entry{Socket, POLLIN, 0};
-    return poll(&Entry, 1, std::chrono::milliseconds(kWaitLimit).count()) > 0;
-  }
-
-  /// Reads until the daemon closes the connection, and returns what it read.
-  std::string readToEnd() const {
-    std::array<char, 4096> Block{};
-    std::string Received;
-    ssize_t Count = 0;
-    while ((Count = recv(Socket, Block.data(), Block.size(), 0)) > 0)
-      Received.append(Block.data(), static_cast<std::size_t>(Count));
-    return Received;
-  }
-
-private:
-  const int Socket;
-};
-
 std::string serviceFileWithLargeBodies() {
   const std::string Section = "[backend]\n";
   std::string Result = serviceFile();
@@ -147,7 +88,9 @@
        .Flags = {"--drain-ms", "0", "--max-body-bytes", "16000000"}});
   REQUIRE(FleetUnderTest::waitUntilServed(Stopping, "/bookings/open"));
   // The backend server echoes the body.
-  SlowCaller Caller(Stopping.callerUrl(), "/bookings/open", kSlowBodyBytes);
+  SlowCaller Caller(Stopping.callerUrl(),
+                    "POST /bookings/open HTTP/1.1\r\nHost: test\r\n",
+                    kSlowBodyBytes);
   REQUIRE(Caller.waitForResponse());
   REQUIRE(waitUntil([&] { return Stopping.status("calls_open") == 0; }));
   Stopping.process().signal(SIGTERM);
