--- a/src/node/internal/logfollower.cpp
+++ b/src/node/internal/logfollower.cpp
@@ -2,6 +2,9 @@
 
 #include "platformlog/errors.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace node {
 
 namespace {
@@ -89,10 +92,12 @@
 
 /// Reads up to the end of the log. Returns false if the log can't be read.
 bool LogFollower::readToEnd(std::chrono::milliseconds Wait) {
+  // Last record after a gap that was searched for a snapshot.
+  base::LogOffset Searched;
   for (;;) {
     const base::BootTime SentAt = Shared.Clock.now();
     const base::LogOffset Before = Fleet.appliedOffset();
-    const base::LogOffset From(Before.value() + 1);
+    const base::LogOffset From(std::max(Before, Searched).value() + 1);
     auto Page = ReadClient.read(From, kRecordsPerRead, Wait);
     if (!Page) {
       Shared.Metrics.counter("log_read_failures_total").add();
@@ -106,12 +111,18 @@
       appendSnapshotIfDue();
       return true;
     }
+    if (After > Before) {
+      Searched = base::LogOffset();
+      continue;
+    }
+    if (!Page->Records.empty() && Page->Records.back().Offset < Page->End) {
+      Searched = Page->Records.back().Offset;
+      continue;
+    }
     // The log has dropped records that this daemon needs and holds no snapshot
     // after the gap. A peer may have one.
-    if (After == Before) {
-      Shared.Metrics.counter("log_gaps_total").add();
-      return true;
-    }
+    Shared.Metrics.counter("log_gaps_total").add();
+    return true;
   }
 }
 
--- /dev/null
+++ b/src/node/tests/logfollowertest.cpp
@@ -0,0 +1,188 @@
+#include "node/logfollower.h"
+
+#include "config/tests/examples.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace std::chrono_literals;
+using base::LogOffset;
+using platformlog::RecordKind;
+
+namespace {
+
+constexpr const char *kFile = "orders.toml";
+
+/// Platform log in memory that can lose its oldest records and the responses to
+/// appends.
+class MemoryLog final : public platformlog::LogClient {
+public:
+  base::Result<LogOffset> append(const std::string &Bytes) override {
+    std::unique_lock Lock(Mutex);
+    Changed.wait(Lock, [this] { return !AppendsBlocked; });
+    Records.push_back(Bytes);
+    if (LostResponses > 0) {
+      --LostResponses;
+      return platformlog::fail(platformlog::LogErrorKind::AppendOutcomeUnknown,
+                               "");
+    }
+    return LogOffset(Records.size());
+  }
+
+  base::Result<platformlog::LogPage> read(LogOffset From,
+                                          std::size_t MaxRecords,
+                                          std::chrono::milliseconds) override {
+    const std::lock_guard Lock(Mutex);
+    platformlog::LogPage Page;
+    Page.First = First;
+    Page.End = LogOffset(Records.size());
+    for (std::uint64_t Offset = std::max(From.value(), First.value());
+         Offset <= Records.size() &&
+         Page.Records.size() < std::min(MaxRecords, PageLimit);
+         ++Offset)
+      Page.Records.push_back({LogOffset(Offset), Records[Offset - 1]});
+    return Page;
+  }
+
+  void add(std::string Bytes) {
+    const std::lock_guard Lock(Mutex);
+    Records.push_back(std::move(Bytes));
+  }
+
+  /// Removes all records before `Offset`.
+  void trim(std::uint64_t Offset) {
+    const std::lock_guard Lock(Mutex);
+    First = LogOffset(Offset);
+  }
+
+  void blockAppends(bool Blocked) {
+    const std::lock_guard Lock(Mutex);
+    AppendsBlocked = Blocked;
+    Changed.notify_all();
+  }
+
+  std::vector<std::string> records() const {
+    const std::lock_guard Lock(Mutex);
+    return Records;
+  }
+
+  std::size_t PageLimit = 1000;
+  int LostResponses = 0;
+
+private:
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  std::vector<std::string> Records;
+  LogOffset First{1};
+  bool AppendsBlocked = false;
+};
+
+std::string filler() {
+  return platformlog::encode(
+      platformlog::FleetRecord{RecordKind::Announcement, ""});
+}
+
+std::string change(std::uint64_t BaseVersion, const char *Key) {
+  config::ConfigChange Change;
+  Change.Id = base::makeRandomId<config::PublishId>();
+  Change.File = kFile;
+  Change.Content = config::examples::serviceText(Key);
+  Change.BaseVersion = LogOffset(BaseVersion);
+  return platformlog::encodeRecord(RecordKind::ConfigChange, Change);
+}
+
+bool waitUntil(const std::function<bool()> &Condition) {
+  const auto Deadline = std::chrono::steady_clock::now() + 10s;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > Deadline)
+      return false;
+    std::this_thread::sleep_for(1ms);
+  }
+  return true;
+}
+
+struct Fixture {
+  base::SystemClock Clock;
+  node::Runtime Shared{Clock,
+                       {base::InstanceId("a"), base::Incarnation(1)},
+                       base::DataCentreId("dc1"),
+                       base::RegionId("north")};
+  node::FleetState Fleet{Shared};
+  MemoryLog Log;
+
+  std::unique_ptr<node::LogFollower> follow() {
+    return std::make_unique<node::LogFollower>(
+        Shared, Log, Log, Fleet, 1h, [](base::BootTime, LogOffset) {});
+  }
+
+  /// Adds a snapshot of a fleet that has applied all records so far.
+  void addSnapshot(const node::FleetState &Applied) {
+    Log.add(Applied.snapshotRecord());
+  }
+
+  bool hasKey(const char *Key) const {
+    const auto Config = Fleet.configuration();
+    const config::Service *Service =
+        Config->service(base::ServiceName("orders"));
+    return Service != nullptr &&
+           Service->workspaceByKey(config::digestKey(Key)) != nullptr;
+  }
+};
+
+} // namespace
+
+// Guards against a daemon that stays without a configuration because the first
+// page after a gap holds no snapshot.
+TEST_CASE_FIXTURE(Fixture, "a snapshot is found behind any number of records "
+                           "after a gap") {
+  node::FleetState Other(Shared);
+  Log.add(change(0, "one"));
+  for (int Count = 0; Count < 500; ++Count)
+    Log.add(filler());
+  Other.apply(Log.read(LogOffset(1), 1000, 0ms)->Records);
+  addSnapshot(Other);
+  Log.add(change(1, "two"));
+  Log.trim(100);
+  const auto Follower = follow();
+  CHECK(waitUntil([&] { return hasKey("two"); }));
+}
+
+// Guards against losing a configuration under any pattern of pages, gaps and
+// snapshots.
+TEST_CASE("the newest configuration is in force after random gaps") {
+  for (unsigned Seed = 1; Seed <= 30; ++Seed) {
+    INFO("seed: ", Seed);
+    Fixture F;
+    std::mt19937 Random(Seed);
+    node::FleetState Writer(F.Shared);
+    std::uint64_t Version = 0;
+    std::string Key;
+    std::uint64_t LastSnapshot = 0;
+    const auto CatchUp = [&] {
+      const LogOffset From(Writer.appliedOffset().value() + 1);
+      Writer.apply(F.Log.read(From, F.Log.PageLimit, 0ms)->Records);
+    };
+    for (int Step = 0; Step < 40; ++Step) {
+      for (unsigned Count = Random() % 60; Count > 0; --Count)
+        F.Log.add(filler());
+      Key = "key-" + std::to_string(Step);
+      F.Log.add(change(Version, Key.c_str()));
+      Version = F.Log.records().size();
+      CatchUp();
+      if (Random() % 4 == 0 || Step == 20) {
+        F.addSnapshot(Writer);
+        LastSnapshot = Version;
+        CatchUp();
+      }
+    }
+    F.Log.PageLimit = 1 + Random() % 300;
+    // The log still holds the last snapshot and all records that it lacks.
+    F.Log.trim(1 + Random() % (LastSnapshot + 1));
+    const auto Follower = F.follow();
+    CHECK(waitUntil([&] { return F.hasKey(Key.c_str()); }));
+    CHECK(F.Fleet.appliedOffset() == LogOffset(F.Log.records().size()));
+    CHECK(F.Fleet.lastSnapshotOffset() >= LogOffset(LastSnapshot + 1));
+  }
+}
