Don't lose a log record that is queued behind the one being sent

Cause: LogFollower::append drops the front of a full queue, which may be the record that appendLoop is sending; appendLoop then removed the record behind it, unsent. Evidence: the new test failed before ('record 10' was never appended).

Change: the record being sent is no longer in the queue. Dropped records are counted (log_records_dropped_total).

--- a/src/node/internal/logfollower.cpp
+++ b/src/node/internal/logfollower.cpp
@@ -62,8 +62,10 @@
 
 void LogFollower::append(std::string Record) {
   std::lock_guard Lock(Mutex);
-  if (Queue.size() >= kMaxQueuedRecords)
+  if (Queue.size() >= kMaxQueuedRecords) {
     Queue.pop_front();
+    Shared.Metrics.counter("log_records_dropped_total").add();
+  }
   Queue.push_back(std::move(Record));
   Wakeup.notify_all();
 }
@@ -166,20 +168,29 @@
     Wakeup.wait(Lock, [this] { return Stopping || !Queue.empty(); });
     if (Queue.empty())
       return;
-    const std::string Record = Queue.front();
+    const std::string Record = std::move(Queue.front());
+    Queue.pop_front();
     Lock.unlock();
-    auto Appended = AppendClient.append(Record);
+    const bool Done = appendUntilDone(Record);
     Lock.lock();
-    if (Appended) {
-      Queue.pop_front();
-      ReadRequested = true;
-      Wakeup.notify_all();
-      continue;
-    }
-    Shared.Metrics.counter("log_append_failures_total").add();
-    if (Stopping)
+    if (!Done)
       return;
-    Wakeup.wait_for(Lock, kRetryDelay, [this] { return Stopping; });
+    ReadRequested = true;
+    Wakeup.notify_all();
+  }
+}
+
+/// Appends a record, again if that fails and may succeed later. Returns false
+/// if the daemon stops before that.
+bool LogFollower::appendUntilDone(const std::string &Record) {
+  for (;;) {
+    const auto Appended = AppendClient.append(Record);
+    if (Appended)
+      return true;
+    Shared.Metrics.counter("log_append_failures_total").add();
+    std::unique_lock Lock(Mutex);
+    if (Wakeup.wait_for(Lock, kRetryDelay, [this] { return Stopping; }))
+      return false;
   }
 }
 
--- a/src/node/logfollower.h
+++ b/src/node/logfollower.h
@@ -38,9 +38,9 @@
   /// Requests one read up to the end of the log.
   void requestRead();
 
-  /// Queues a record, dropping the oldest one if the queue is full. Appending
-  /// is retried until the log confirms it, so the log may contain the record
-  /// more than once; all kinds of record tolerate that.
+  /// Queues a record, dropping the oldest one in the queue if that is full.
+  /// Appending is retried until the log confirms it, so the log may contain the
+  /// record more than once; all kinds of record tolerate that.
   void append(std::string Record);
 
   /// Time at which the last read that reached the end of the log was sent; the
@@ -50,6 +50,7 @@
 private:
   void readLoop();
   void appendLoop();
+  bool appendUntilDone(const std::string &Record);
   bool readToEnd(std::chrono::milliseconds Wait);
   void appendSnapshotIfDue();
   base::Duration jitter();
--- a/src/node/tests/logfollowertest.cpp
+++ b/src/node/tests/logfollowertest.cpp
@@ -186,3 +186,33 @@
     CHECK(F.Fleet.lastSnapshotOffset() >= LogOffset(LastSnapshot + 1));
   }
 }
+
+// Guards against losing a record that was queued while the queue was full.
+TEST_CASE_FIXTURE(Fixture, "a full queue drops old records only") {
+  constexpr int QueueLength = 1000;
+  Log.blockAppends(true);
+  const auto Follower = follow();
+  Follower->append("sending");
+  std::this_thread::sleep_for(50ms);
+  for (int Count = 0; Count < QueueLength + 10; ++Count)
+    Follower->append("record " + std::to_string(Count));
+  Log.blockAppends(false);
+  CHECK(waitUntil([&] { return Log.records().size() >= QueueLength + 1; }));
+  const std::vector<std::string> Records = Log.records();
+  CHECK(std::count(Records.begin(), Records.end(), "sending") == 1);
+  for (int Count = 10; Count < QueueLength + 10; ++Count)
+    CHECK(std::count(Records.begin(), Records.end(),
+                     "record " + std::to_string(Count)) == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a record is appended again if the response to its "
+                           "append was lost") {
+  Log.LostResponses = 2;
+  const auto Follower = follow();
+  Follower->append("first");
+  Follower->append("second");
+  CHECK(waitUntil([&] {
+    const auto Records = Log.records();
+    return std::count(Records.begin(), Records.end(), "second") == 1;
+  }));
+}
