Drop a log record that is too large instead of repeating it for ever

Cause: HttpLogClient::append reported it as unavailable, which callers repeat. Evidence: the new test failed before (the next record was not appended in 10 s).

Change: a kind of its own, RecordTooLarge, also for status 413. LogFollower drops the record with an event; the publisher reports it as not appended.

--- a/src/node/internal/logfollower.cpp
+++ b/src/node/internal/logfollower.cpp
@@ -184,10 +184,26 @@
 /// if the daemon stops before that.
 bool LogFollower::appendUntilDone(const std::string &Record) {
   for (;;) {
-    const auto Appended = AppendClient.append(Record);
+    platformlog::LogError Failure;
+    const bool Appended = boost::leaf::try_handle_all(
+        [&]() -> base::Result<bool> {
+          BOOST_LEAF_CHECK(AppendClient.append(Record));
+          return true;
+        },
+        [&Failure](const platformlog::LogError &Reason) {
+          Failure = Reason;
+          return false;
+        },
+        [] { return false; });
     if (Appended)
       return true;
     Shared.Metrics.counter("log_append_failures_total").add();
+    if (Failure.Kind == platformlog::LogErrorKind::RecordTooLarge) {
+      Shared.recordEvent("log_record_dropped",
+                         std::to_string(Record.size()) +
+                             " bytes are too large for the log");
+      return true;
+    }
     std::unique_lock Lock(Mutex);
     if (Wakeup.wait_for(Lock, kRetryDelay, [this] { return Stopping; }))
       return false;
--- a/src/node/logfollower.h
+++ b/src/node/logfollower.h
@@ -40,7 +40,8 @@
 
   /// Queues a record, dropping the oldest one in the queue if that is full.
   /// Appending is retried until the log confirms it, so the log may contain the
-  /// record more than once; all kinds of record tolerate that.
+  /// record more than once; all kinds of record tolerate that. A record that is
+  /// too large for the log is dropped.
   void append(std::string Record);
 
   /// Time at which the last read that reached the end of the log was sent; the
--- a/src/node/tests/logfollowertest.cpp
+++ b/src/node/tests/logfollowertest.cpp
@@ -22,6 +22,8 @@
   base::Result<LogOffset> append(const std::string &Bytes) override {
     std::unique_lock Lock(Mutex);
     Changed.wait(Lock, [this] { return !AppendsBlocked; });
+    if (Bytes.size() > platformlog::kMaxRecordBytes)
+      return platformlog::fail(platformlog::LogErrorKind::RecordTooLarge, "");
     Records.push_back(Bytes);
     if (LostResponses > 0) {
       --LostResponses;
@@ -216,3 +218,14 @@
     return std::count(Records.begin(), Records.end(), "second") == 1;
   }));
 }
+
+// Guards against a record that can never be appended and blocks all others.
+TEST_CASE_FIXTURE(Fixture, "a record that is too large is dropped") {
+  const auto Follower = follow();
+  Follower->append(std::string(platformlog::kMaxRecordBytes + 1, 'x'));
+  Follower->append("next");
+  CHECK(waitUntil([&] {
+    const auto Records = Log.records();
+    return std::count(Records.begin(), Records.end(), "next") == 1;
+  }));
+}
--- a/src/platformlog/errors.h
+++ b/src/platformlog/errors.h
@@ -18,6 +18,8 @@
   AppendOutcomeUnknown,
   /// The response to a read was not valid.
   MalformedResponse,
+  /// The record has not been appended and never can be.
+  RecordTooLarge,
 };
 
 /// A failed call to the platform log. All failed results of this module carry
@@ -28,8 +30,8 @@
   std::string Detail;
 };
 
-/// Name of an error kind for messages: `unavailable`, `append outcome unknown`
-/// or `malformed response`.
+/// Name of an error kind for messages: `unavailable`, `append outcome unknown`,
+/// `malformed response` or `record too large`.
 std::string_view logErrorName(LogErrorKind Kind);
 
 /// Makes a failed result that carries a `LogError`.
--- a/src/platformlog/internal/errors.cpp
+++ b/src/platformlog/internal/errors.cpp
@@ -10,6 +10,8 @@
     return "append outcome unknown";
   case LogErrorKind::MalformedResponse:
     return "malformed response";
+  case LogErrorKind::RecordTooLarge:
+    return "record too large";
   }
   return "unavailable";
 }
--- a/src/platformlog/internal/httplogclient.cpp
+++ b/src/platformlog/internal/httplogclient.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr long kServiceUnavailable = 503;
+constexpr long kContentTooLarge = 413;
 
 bool isSuccess(long Status) { return Status >= 200 && Status < 300; }
 
@@ -50,7 +51,9 @@
 
 base::Result<base::LogOffset> HttpLogClient::append(const std::string &Bytes) {
   if (Bytes.size() > kMaxRecordBytes)
-    return fail(LogErrorKind::Unavailable, "the record is too large to append");
+    return fail(LogErrorKind::RecordTooLarge,
+                "the record has " + std::to_string(Bytes.size()) +
+                    " bytes, more than the log accepts");
   const std::lock_guard Lock(Impl->AppendMutex);
   HttpCall Call;
   Call.Url = Impl->RecordsUrl;
@@ -64,6 +67,8 @@
     return fail(Exchange.MaybeSent ? LogErrorKind::AppendOutcomeUnknown
                                    : LogErrorKind::Unavailable,
                 Exchange.Detail);
+  if (Exchange.Status == kContentTooLarge)
+    return fail(LogErrorKind::RecordTooLarge, statusText(Exchange.Status));
   if (guaranteesNoAppend(Exchange.Status))
     return fail(LogErrorKind::Unavailable, statusText(Exchange.Status));
   if (!isSuccess(Exchange.Status))
--- a/src/platformlog/logclient.h
+++ b/src/platformlog/logclient.h
@@ -38,8 +38,8 @@
   virtual ~LogClient() = default;
 
   /// Appends one record and returns its offset. Fails with `Unavailable` if the
-  /// record has certainly not been appended, otherwise with
-  /// `AppendOutcomeUnknown`.
+  /// record has certainly not been appended, with `RecordTooLarge` if it also
+  /// never can be, otherwise with `AppendOutcomeUnknown`.
   virtual base::Result<base::LogOffset> append(const std::string &Bytes) = 0;
 
   /// Reads up to `MaxRecords` records from offset `From` on. If there are none
--- a/src/publish/internal/publisher.cpp
+++ b/src/publish/internal/publisher.cpp
@@ -178,6 +178,10 @@
     if (attempt<base::LogOffset>([&] { return Log.append(Record); }, Failure))
       return;
     Result.Detail = describe(Failure);
+    if (Failure.Kind == LogErrorKind::RecordTooLarge) {
+      Result.Outcome = PublishOutcome::NotAppended;
+      return;
+    }
     // The record may have been appended, so the outcome remains unknown until
     // it is read from the log.
     if (Failure.Kind != LogErrorKind::Unavailable)
