Give each refused call one reason, in the log and in a counter

Cause: CallExecutor::onCall took any entry that the queue didn't accept for a full queue; AdmitResult::Refused was answered without a record.

Change: a closed list, RefusalReason, from which the log line, the counter and the error follow. An expired deadline is now reported as such instead of as overloaded; it still counts as congestion. 'tried' is a list everywhere.

--- a/src/relay/callexecutor.h
+++ b/src/relay/callexecutor.h
@@ -10,6 +10,7 @@
 #include "relay/callcorrelator.h"
 #include "relay/localserverstate.h"
 #include "relay/messages.h"
+#include "relay/refusalreason.h"
 #include "relay/serverloadmonitor.h"
 #include "relay/servernotices.h"
 #include "relay/structuredlog.h"
@@ -94,7 +95,7 @@
   /// Refuses queued calls, since the server is shutting down.
   void stopUsingServer(const char *Source);
   ServerNotice currentNotice();
-  void refuseQueued(base::ErrorKind Kind);
+  void refuseQueued(RefusalReason Reason);
   /// Whether the rate limit will not allow a new call within `MaxWait`, given
   /// the queued calls that run before it.
   bool exceedsRateLimit(const overload::QueueEntry &Entry,
@@ -112,7 +113,11 @@
                                      http::ExchangeResult &Exchange);
   void finish(const base::CallId &Id, execution::Response Result,
               overload::CompletionStatus Completion);
-  void refuse(const base::CallId &Id, base::ErrorKind Kind, const char *Reason);
+  void refuse(const base::CallId &Id, RefusalReason Reason);
+  /// Logs and counts a refusal.
+  void recordRefusal(const CallFrame &Message, RefusalReason Reason);
+  /// Why a call was removed from the queue, or not accepted in it.
+  RefusalReason refusalFor(const overload::DequeuedEntry &Removed) const;
   void sendResponse(transport::ConnectionId To, const base::CallId &Id,
                     execution::Response Result, bool Congested,
                     const CallTimes &Times = {});
--- a/src/relay/entryhandler.h
+++ b/src/relay/entryhandler.h
@@ -133,6 +133,7 @@
   void respond(OpenRequest &Request, http::Response Final);
   http::Response makeErrorResponse(const OpenRequest &Request,
                                    base::ErrorKind Kind, std::uint16_t Status);
+  static std::string attemptedInstances(const OpenRequest &Request);
   void logRequest(const char *Event, const OpenRequest &Request,
                   base::ErrorKind Kind, std::uint16_t Status) const;
   retry::RetryBudget &retryBudgetFor(const base::ServiceName &Service);
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -116,7 +116,7 @@
   if (Server.available())
     startQueuedCalls();
   else
-    refuseQueued(base::ErrorKind::NoUpstream);
+    refuseQueued(RefusalReason::ServerLeft);
   return Result;
 }
 
@@ -140,7 +140,7 @@
                                {"source", Source},
                                {"queued", Queued.size()},
                                {"running", Running.size()}});
-  refuseQueued(base::ErrorKind::NoUpstream);
+  refuseQueued(RefusalReason::ServerLeft);
 }
 
 /// Calls in flight count towards the new limit too.
@@ -173,9 +173,22 @@
   return Result;
 }
 
-void CallExecutor::refuseQueued(base::ErrorKind Kind) {
+void CallExecutor::refuseQueued(RefusalReason Reason) {
   while (const auto Next = Queue.pop())
-    refuse(Next->Entry.Id, Kind, "the backend server is shutting down");
+    refuse(Next->Entry.Id, Reason);
+}
+
+RefusalReason
+CallExecutor::refusalFor(const overload::DequeuedEntry &Removed) const {
+  if (Removed.Reason == overload::DequeueReason::QueueFull)
+    return RefusalReason::QueueFull;
+  const auto Found = Queued.find(Removed.Entry.Id);
+  if (Found != Queued.end() &&
+      execution::deadlineOf(Found->second.Message.Context,
+                            Found->second.ArrivedAt) <= Loop.clock().now())
+    return RefusalReason::DeadlineExpired;
+  return RateLimit.rate() ? RefusalReason::StatedLimit
+                          : RefusalReason::NoSlotInTime;
 }
 
 void CallExecutor::onCall(transport::ConnectionId From, CallFrame Message) {
@@ -185,6 +198,7 @@
   case execution::AdmitResult::Queued:
     break;
   case execution::AdmitResult::Refused:
+    recordRefusal(Message, RefusalReason::TooManyOpenCalls);
     return sendResponse(From, Id,
                         execution::errorResponse(base::ErrorKind::Overloaded,
                                                  base::Outcome::NotRun),
@@ -207,15 +221,13 @@
                          Message.MaxQueueTimeMicros, 3'600'000'000ULL)));
   Queued.emplace(Id, QueuedCall{std::move(Message), Now});
   if (!Server.available())
-    return refuse(Id, base::ErrorKind::NoUpstream,
-                  "the backend server has not reported or is shutting down");
+    return refuse(Id, RefusalReason::ServerUnavailable);
   if (Draining)
-    return refuse(Id, base::ErrorKind::Draining, "the daemon is shutting down");
+    return refuse(Id, RefusalReason::DaemonStopping);
   if (exceedsRateLimit(Entry, Kind, Entry.Deadline - Now))
-    return refuse(Id, base::ErrorKind::Overloaded,
-                  "the limit that the backend server states is used up");
+    return refuse(Id, RefusalReason::StatedLimit);
   if (const auto Removed = Queue.push(std::move(Entry), Kind))
-    refuse(Removed->Entry.Id, base::ErrorKind::Overloaded, "the queue is full");
+    refuse(Removed->Entry.Id, refusalFor(*Removed));
   startQueuedCalls();
 }
 
@@ -258,10 +270,7 @@
 
 void CallExecutor::tick() {
   for (const overload::DequeuedEntry &Expired : Queue.takeExpired())
-    refuse(Expired.Entry.Id, base::ErrorKind::Overloaded,
-           RateLimit.rate()
-               ? "the limit that the backend server states is used up"
-               : "no slot came free in time");
+    refuse(Expired.Entry.Id, refusalFor(Expired));
   startQueuedCalls();
   Limit->tick();
   LoadMonitor.tick();
@@ -291,7 +300,7 @@
   case execution::StartResult::Started:
     break;
   case execution::StartResult::Expired:
-    refuse(Id, base::ErrorKind::DeadlineExceeded, "the deadline has expired");
+    refuse(Id, RefusalReason::DeadlineExpired);
     return true;
   case execution::StartResult::Stopped:
     Queued.erase(Found);
@@ -473,23 +482,33 @@
 }
 
 /// Refuses a call that has been admitted but has not started.
-void CallExecutor::refuse(const base::CallId &Id, base::ErrorKind Kind,
-                          const char *Reason) {
+void CallExecutor::refuse(const base::CallId &Id, RefusalReason Reason) {
   const auto ReplyTo = Executions.replyConnection(Id);
   const auto Found = Queued.find(Id);
   if (Found != Queued.end()) {
-    logCall("call_refused", Found->second.Message, Reason, "");
+    recordRefusal(Found->second.Message, Reason);
     Queued.erase(Found);
   }
   Executions.withdraw(Id);
+  // What a rate limit holds back may run at another server at once.
+  const RefusalDescription &Described = describe(Reason);
+  if (ReplyTo)
+    sendResponse(
+        transport::ConnectionId(ReplyTo->value()), Id,
+        execution::errorResponse(Described.Kind, base::Outcome::NotRun),
+        Described.Congestion && !RateLimit.rate());
+}
+
+void CallExecutor::recordRefusal(const CallFrame &Message,
+                                 RefusalReason Reason) {
+  const RefusalDescription &Described = describe(Reason);
+  const std::string Name(Described.Name);
   Metrics
       .counter("calls_refused_total{kind=\"" +
-               std::string(base::errorResponseFor(Kind).Name) + "\"}")
+               std::string(base::errorResponseFor(Described.Kind).Name) +
+               "\",reason=\"" + Name + "\"}")
       .add();
-  if (ReplyTo)
-    sendResponse(transport::ConnectionId(ReplyTo->value()), Id,
-                 execution::errorResponse(Kind, base::Outcome::NotRun),
-                 Kind == base::ErrorKind::Overloaded && !RateLimit.rate());
+  logCall("call_refused", Message, Name.c_str(), "");
 }
 
 void CallExecutor::sendResponse(transport::ConnectionId To,
--- a/src/relay/internal/entryhandler.cpp
+++ b/src/relay/internal/entryhandler.cpp
@@ -400,7 +400,7 @@
          {"parent", Request.Parent ? base::toHex(Request.Parent->Bytes) : ""},
          {"policy", Request.Policy->version().value()},
          {"served_by", Request.Target.Process.Instance.str()},
-         {"tried", Request.Attempted.size()},
+         {"tried", attemptedInstances(Request)},
          {"age_ms", milliseconds(Age)},
          {"objective_ms", milliseconds(Request.Route->LatencyObjective)},
          {"queue_ms", Times.QueueMicros / 1000},
@@ -537,13 +537,18 @@
   return Found == Throttles.end() ? 1 : Found->second.admittedShare();
 }
 
+/// Instances of the daemons that were attempted, in order, separated by commas.
+std::string EntryHandler::attemptedInstances(const OpenRequest &Request) {
+  std::string Result;
+  for (const base::ProcessId &Each : Request.Attempted)
+    Result += (Result.empty() ? "" : ",") + Each.Instance.str();
+  return Result;
+}
+
 void EntryHandler::logRequest(const char *Event, const OpenRequest &Request,
                               base::ErrorKind Kind,
                               std::uint16_t Status) const {
   const base::BootTime Now = Loop.clock().now();
-  std::string Attempted;
-  for (const base::ProcessId &Each : Request.Attempted)
-    Attempted += (Attempted.empty() ? "" : ",") + Each.Instance.str();
   const execution::CallContext &Context = Request.Message.Context;
   Log.request(
       Event,
@@ -559,7 +564,7 @@
        {"admitted_share", admittedShare(Request)},
        {"congested", Request.Congested},
        {"policy", Request.Policy ? Request.Policy->version().value() : 0},
-       {"tried", Attempted},
+       {"tried", attemptedInstances(Request)},
        {"arrivals", Request.DeliveredAttempts},
        {"age_ms", milliseconds(Now - Request.ArrivedAt)},
        {"caller_time_left_ms", milliseconds(Request.CallerDeadline - Now)}});
