Don't let a response header of over 64 KiB end the process

What callers saw: one response with such a header ended the daemon that received the request, with all its callers' connections; a kind of fault that operators of similar systems reported.

Cause: the HTTP library throws when a header longer than 65,535 bytes is written, and nothing on the event loop's thread catches it; libcurl accepts header lines of up to 100 KiB. Evidence: the new test threw 'field value too large' and 'field name too large' before.

Change: all header lines of a backend server's response are bounded by 60 KiB, and a response that can't be written becomes 502 at the server for callers.

--- a/src/http/asyncserver.h
+++ b/src/http/asyncserver.h
@@ -70,7 +70,8 @@
   /// Replaces the limits. A request that is being read keeps its size limits.
   void setLimits(const CallerLimits &NewLimits);
 
-  /// Sends the response. Does nothing if the caller has disconnected.
+  /// Sends the response, or 502 if one of its headers is longer than 65,000
+  /// bytes. Does nothing if the caller has disconnected.
   void respond(ExchangeId Id, Response Message);
 
   /// Number of requests without a response yet.
--- a/src/http/internal/callersocket.cpp
+++ b/src/http/internal/callersocket.cpp
@@ -33,6 +33,18 @@
 constexpr std::uint16_t kContentTooLarge = 413;
 constexpr std::uint16_t kHeaderFieldsTooLarge = 431;
 
+constexpr std::uint16_t kBadGateway = 502;
+/// Longest name or value of a header that the HTTP library can write.
+constexpr std::size_t kMaxFieldBytes = 65'000;
+
+bool hasOversizedHeader(const Response &Message) {
+  return std::any_of(Message.Headers.begin(), Message.Headers.end(),
+                     [](const Header &Each) {
+                       return Each.Name.size() > kMaxFieldBytes ||
+                              Each.Value.size() > kMaxFieldBytes;
+                     });
+}
+
 std::uint16_t statusFor(const boost::system::error_code &Problem) {
   if (Problem == beast::error::body_limit)
     return kContentTooLarge;
@@ -162,7 +174,9 @@
     return true;
   if (Message.CloseConnection)
     Closing = true;
-  Found->Response = std::move(Message);
+  // The library would throw on such a header.
+  Found->Response = hasOversizedHeader(Message) ? Response{kBadGateway, {}, ""}
+                                                : std::move(Message);
   queueResponses();
   return flush(Now);
 }
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -40,8 +40,9 @@
 }
 
 constexpr std::uint16_t kFirstFinalStatus = 200;
-/// Upper bound of all header lines of a response, in bytes.
-constexpr std::size_t kMaxHeaderBytes = 128 << 10;
+/// Upper bound of all header lines of a response, in bytes. Less than the 64
+/// KiB that `AsyncServer` can write in one header.
+constexpr std::size_t kMaxHeaderBytes = 60 << 10;
 
 /// Status in a status line, such as `HTTP/1.1 200 OK`; 0 if there is none.
 std::uint16_t statusIn(std::string_view Line) {
--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -314,3 +314,23 @@
   CHECK(exchange(Loop, Client, "http://127.0.0.1:1").Status ==
         http::ExchangeStatus::NotSent);
 }
+
+// Guards against a response that ends the process because it can't be written.
+TEST_CASE("a response whose headers can't be written becomes 502") {
+  class Oversized final : public http::AsyncHandler {
+  public:
+    void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
+                   http::Request) override {
+      Server.respond(Id, {200, {{"X", std::string(70'000, 'x')}}, "body"});
+    }
+    void onCallerDisconnected(http::ExchangeId) override {}
+  };
+  eventloop::EventLoop Loop(kClock);
+  Oversized Handler;
+  const auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  http::AsyncClient Client(Loop);
+  const auto Result = exchange(
+      Loop, Client, "http://127.0.0.1:" + std::to_string(Server->port()));
+  CHECK(Result.Response.Status == 502);
+  CHECK(Result.Response.Body.empty());
+}
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -397,6 +397,33 @@
   CHECK(std::chrono::steady_clock::now() - Started < 2s);
 }
 
+// Guards against a malformed response that ends the whole process.
+TEST_CASE("a response with odd headers doesn't stop the daemon") {
+  std::string Odd;
+  SUBCASE("a very long value") { Odd = "X: " + std::string(70'000, 'x'); }
+  SUBCASE("a very long name") { Odd = std::string(70'000, 'x') + ": 1"; }
+  SUBCASE("no name") { Odd = ": 1"; }
+  SUBCASE("control characters") { Odd = std::string("X\x01\x7f: \x02\xff"); }
+  SUBCASE("many headers") {
+    for (int Count = 0; Count < 2000; ++Count)
+      Odd += "X-" + std::to_string(Count) + ": 1\r\n";
+    Odd += "X: 1";
+  }
+  SUBCASE("a carriage return") { Odd = "X: a\rSet-Y: b"; }
+  const ScriptedBackend::Script Respond = [&](const std::string &Request) {
+    const std::string Plain = successFor(Request);
+    const std::size_t End = Plain.find("\r\n") + 2;
+    return ScriptedBackend::Reaction{
+        Plain.substr(0, End) + Odd + "\r\n" + Plain.substr(End), true};
+  };
+  RelayFixture Test(Respond, Respond);
+  const auto Result =
+      Test.Fleet.sendAndWait(0, callerRequest("POST", "/once/x"));
+  const bool Whole =
+      Result.Response.Status == 200 && Result.Response.Body == "done";
+  CHECK((Whole || Result.Response.Status == 502));
+}
+
 TEST_CASE("error responses of the server are forwarded unchanged") {
   const ScriptedBackend::Script Fail = [](const std::string &Request) {
     return ScriptedBackend::Reaction{
