Show that a request without a key never gets another one's workspace

It can't: the header with the workspace is set from a key only, and a route that needs a key refuses a matched caller too. Only routes that are open to all are reached, and those have no workspace limit.

What such a caller does get is the matched request's priority, its place in the fair queue and a pass through the throttle of its route. Nothing travels with a server's call that would tell it from a caller's, so this stays open.

--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -480,6 +480,36 @@
   CHECK(Test.requestCount() == 1);
 }
 
+// Guards against a caller without a key that is taken for the local backend
+// server, because its request expires with one that the server is running.
+TEST_CASE("a request without a key never gets the workspace of another one") {
+  ScriptedBackend Server([](const std::string &Request) {
+    const bool Hang = Request.find("/once/") != std::string::npos;
+    return Hang ? ScriptedBackend::Reaction{"", false, true} : succeed(Request);
+  });
+  TestFleet Fleet;
+  Fleet.addDaemon("back", Server.url());
+  auto Policy = simplePolicy("back");
+  Policy.Workspaces[0].Rate = 1;
+  Policy.Workspaces[0].Burst = 2;
+  Fleet.publish(Policy);
+  Fleet.send(0, callerRequest("POST", "/once/x"), nullptr);
+  Fleet.waitFor([&] { return Server.requests().size() == 1; });
+  CHECK(headerIn(Server.requests()[0], "Workspace") == "w");
+  http::Request Keyless = callerRequest("GET", "/open/x", "keyless");
+  Keyless.Headers.pop_back();
+  // The deadline of the running request is the route's timeout.
+  Keyless.Headers[2].Value = "690";
+  CHECK(Fleet.sendAndWait(0, Keyless).Response.Status == 200);
+  REQUIRE(Server.requests().size() == 2);
+  CHECK(headerIn(Server.requests()[1], "Workspace").empty());
+  // A route that needs a key needs it from such a caller too.
+  http::Request Closed = Keyless;
+  Closed.Path = "/safe/x";
+  CHECK(Fleet.sendAndWait(0, Closed).Response.Status == 401);
+  CHECK(Server.requests().size() == 2);
+}
+
 // Load pattern: one workspace exceeds its limit. Guards against running
 // requests over the limit, and against refusing them with a status other than
 // 429.
