Let only a success without a limit lift the limit

Callers saw nothing; the server would: its failures without the header lifted the limit for a moment each time, until its next answer named it again.

Change: only a 2xx response without a figure lifts the limit.

--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -372,12 +372,9 @@
   const ServerStatement Stated =
       parseStatement(Received.Headers, Settings.Headers);
   LoadMonitor.onStatement(Call.Server, Stated);
-  // A malformed limit, or a refusal without one, leaves the current limit in
+  // A malformed limit, or a failure without one, leaves the current limit in
   // force.
-  const bool NotExecuted =
-      http::findHeader(Received.Headers, Settings.Headers.NotExecuted)
-          .has_value();
-  if (Stated.RateLimit || (!Stated.Malformed && !NotExecuted))
+  if (Stated.RateLimit || (!Stated.Malformed && isSuccess(Received.Status)))
     RateLimit.observe(Stated.RateLimit, Call.StartedAt);
   if (Stated.Leaving)
     onStatedShutdown(Call.Server, "response");
--- a/src/relay/tests/statedlimittest.cpp
+++ b/src/relay/tests/statedlimittest.cpp
@@ -49,12 +49,18 @@
 
   std::atomic<bool> States = true;
   std::atomic<bool> Hangs = false;
+  std::atomic<bool> FailsMostly = false;
+  std::atomic<int> Count = 0;
   ScriptedBackend Front{[](const std::string &Request) {
     return ScriptedBackend::Reaction{successFor(Request)};
   }};
   ScriptedBackend Back{[this](const std::string &Request) {
     if (Hangs)
       return ScriptedBackend::Reaction{"", false, true};
+    if (FailsMostly && ++Count % 4 != 0)
+      return ScriptedBackend::Reaction{
+          "HTTP/1.1 404 Gone\r\nAttempt: " + headerIn(Request, "Attempt") +
+          "\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"};
     return ScriptedBackend::Reaction{
         States ? successWithLimit(Request, kStatedRate) : successFor(Request)};
   }};
@@ -100,6 +106,15 @@
   CHECK(Test.Back.requests().size() - Before == std::size_t(Served));
 }
 
+// Guards against a limit that every failure of the server lifts for a moment.
+TEST_CASE("a failure that states no limit leaves the limit in force") {
+  Fixture Test;
+  Test.requireServed();
+  Test.FailsMostly = true;
+  const std::size_t Received = Test.receivedDuring(2s);
+  CHECK(Received <= 1.5 * kStatedRate * 2 + 5);
+}
+
 TEST_CASE("a limit that is no longer stated no longer applies") {
   Fixture Test;
   Test.requireServed();
