Refuse new requests near the end of a planned stop instead of breaking them off

What a caller saw: 502 for a request that its server was running (LOST).

Cause: a stopping daemon took requests until it failed the open ones, also those that could not be completed by then. Most callers stop sending after two failed probes, but not where most daemons of a data centre are stopping.

--- a/src/relay/daemon.h
+++ b/src/relay/daemon.h
@@ -88,6 +88,10 @@
   /// still served.
   void drain();
 
+  /// Refuses further requests of callers as not run, except inner calls of the
+  /// local backend server.
+  void refuseNewRequests();
+
   /// Responds to callers' open requests with an error, since the process is
   /// about to exit, and refuses further ones.
   void failOpenRequests();
--- a/src/relay/entryhandler.h
+++ b/src/relay/entryhandler.h
@@ -50,6 +50,9 @@
   /// Makes responses close their connections from now on.
   void startDraining() { Draining = true; }
 
+  /// Refuses further requests as not run, except inner calls.
+  void refuseNewRequests() { RefusingNew = true; }
+
   /// Responds to all open requests with an error, as not run, or as of unknown
   /// outcome if a call may still run; refuses further requests.
   void failOpenRequests();
@@ -160,6 +163,7 @@
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
   bool Draining = false;
+  bool RefusingNew = false;
   bool Stopping = false;
 };
 
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -346,6 +346,11 @@
   Impl->Discovery->announceDraining();
 }
 
+void Daemon::refuseNewRequests() {
+  if (Impl->Entry)
+    Impl->Entry->refuseNewRequests();
+}
+
 void Daemon::failOpenRequests() {
   if (Impl->Entry)
     Impl->Entry->failOpenRequests();
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -456,6 +456,34 @@
   CHECK(Test.First.requests().size() <= 1);
 }
 
+// Guards against a request that a stopping daemon takes although it may have to
+// break it off.
+TEST_CASE("a daemon near its exit completes open requests and refuses new "
+          "ones") {
+  std::atomic<bool> Release = false;
+  const ScriptedBackend::Script Wait = [&](const std::string &Request) {
+    while (!Release)
+      std::this_thread::sleep_for(1ms);
+    return succeed(Request);
+  };
+  RelayFixture Test(Wait, Wait);
+  std::optional<http::ExchangeResult> Open;
+  Test.Fleet.send(0, callerRequest("POST", "/once/x"),
+                  [&](const http::ExchangeResult &Result) { Open = Result; });
+  Test.Fleet.waitFor([&] { return Test.requestCount() == 1; });
+  Test.Fleet.daemon(0).drain();
+  Test.Fleet.daemon(0).refuseNewRequests();
+  const auto Late =
+      Test.Fleet.sendAndWait(0, callerRequest("POST", "/once/x", "late"));
+  CHECK(Late.Response.Status == 503);
+  CHECK(outcomeOf(Late) == "not-run");
+  CHECK(http::findHeader(Late.Response.Headers, "retry-after"));
+  Release = true;
+  Test.Fleet.waitFor([&] { return Open.has_value(); });
+  CHECK(Open->Response.Status == 200);
+  CHECK(Test.requestCount() == 1);
+}
+
 // Guards against a process that exits at the end of its grace period and drops
 // requests whose servers hang (found by the soak test, seed 1).
 TEST_CASE("a daemon that exits responds to its open requests") {
