--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -1,5 +1,6 @@
 #include "http/asyncclient.h"
 #include "http/asyncserver.h"
+#include "http/tests/loopbacklistener.h"
 
 #include <doctest/doctest.h>
 
@@ -66,32 +67,21 @@
 class ScriptedServer {
 public:
   explicit ScriptedServer(std::vector<std::vector<std::string>> Script)
-      : Script(std::move(Script)), Listening(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
-    socklen_t Length = sizeof(Address);
-    REQUIRE(bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length) ==
-            0);
-    listen(Listening, 8);
-    getsockname(Listening, reinterpret_cast<sockaddr *>(&Address), &Length);
-    Url = "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
-    Worker = std::thread([this] { serve(); });
-  }
+      : Script(std::move(Script)), Worker([this] { serve(); }) {}
 
   ~ScriptedServer() {
-    shutdown(Listening, SHUT_RDWR);
+    Listener.stop();
     Worker.join();
-    close(Listening);
   }
 
-  std::string Url;
+  std::string url() const { return Listener.url(); }
+
   std::atomic<int> RequestsRead = 0;
 
 private:
   void serve() {
     for (const auto &Responses : Script) {
-      const int Socket = accept(Listening, nullptr, nullptr);
+      const int Socket = Listener.acceptOne();
       if (Socket < 0)
         return;
       for (const std::string &Message : Responses) {
@@ -106,7 +96,7 @@
   }
 
   const std::vector<std::vector<std::string>> Script;
-  const int Listening;
+  LoopbackListener Listener;
   std::thread Worker;
 };
 
@@ -286,9 +276,9 @@
   ScriptedServer Server({{kCompleteResponse, ""}, {kCompleteResponse}});
   eventloop::EventLoop Loop(kClock);
   http::AsyncClient Client(Loop);
-  CHECK(exchange(Loop, Client, Server.Url).Status ==
+  CHECK(exchange(Loop, Client, Server.url()).Status ==
         http::ExchangeStatus::Completed);
-  const auto Second = exchange(Loop, Client, Server.Url);
+  const auto Second = exchange(Loop, Client, Server.url());
   CHECK(Second.Status == http::ExchangeStatus::Broken);
   CHECK(Server.RequestsRead == 2);
 }
@@ -303,7 +293,7 @@
   http::AsyncClient Client(Loop);
   for (int Round = 0; Round < 3; ++Round) {
     CAPTURE(Round);
-    CHECK(exchange(Loop, Client, Server.Url).Status ==
+    CHECK(exchange(Loop, Client, Server.url()).Status ==
           http::ExchangeStatus::Broken);
   }
 }
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -1,12 +1,8 @@
 #include "http/asyncclient.h"
+#include "http/tests/loopbacklistener.h"
 
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
 #include <optional>
 #include <string>
@@ -23,33 +19,22 @@
 public:
   EndlessServer(std::string Prefix, std::string Repeated)
       : Prefix(std::move(Prefix)), Repeated(std::move(Repeated)),
-        Listening(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
-    socklen_t Length = sizeof(Address);
-    REQUIRE(bind(Listening, reinterpret_cast<sockaddr *>(&Address), Length) ==
-            0);
-    listen(Listening, 8);
-    getsockname(Listening, reinterpret_cast<sockaddr *>(&Address), &Length);
-    Url = "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
-    Worker = std::thread([this] { serve(); });
-  }
+        Worker([this] { serve(); }) {}
 
   ~EndlessServer() {
-    shutdown(Listening, SHUT_RDWR);
+    Listener.stop();
     Worker.join();
-    close(Listening);
   }
 
-  std::string Url;
+  std::string url() const { return Listener.url(); }
+
   std::atomic<std::size_t> BytesSent = 0;
   std::atomic<int> ClosedByClient = 0;
 
 private:
   void serve() {
     for (;;) {
-      const int Socket = accept(Listening, nullptr, nullptr);
+      const int Socket = Listener.acceptOne();
       if (Socket < 0)
         return;
       char Buffer[4096];
@@ -73,7 +58,7 @@
 
   const std::string Prefix;
   const std::string Repeated;
-  const int Listening;
+  LoopbackListener Listener;
   std::thread Worker;
 };
 
@@ -133,10 +118,11 @@
   Options.MaxResponseBytes = kMaxBodyBytes;
   std::optional<http::ExchangeResult> Completed;
   const base::BootTime Started = Clock.now();
-  Client.start(Server.Url, Message, Options, [&](http::ExchangeResult Result) {
-    Completed = std::move(Result);
-    Loop.stop();
-  });
+  Client.start(Server.url(), Message, Options,
+               [&](http::ExchangeResult Result) {
+                 Completed = std::move(Result);
+                 Loop.stop();
+               });
   Loop.run();
   REQUIRE(Completed);
   CHECK(Completed->Status == http::ExchangeStatus::Broken);
@@ -165,13 +151,14 @@
   Options.MaxResponseBytes = 64 * kMaxBodyBytes;
   std::vector<std::size_t> Sizes;
   for (const EndlessServer &Each : Servers)
-    Client.start(Each.Url, Message, Options, [&](http::ExchangeResult Result) {
-      CHECK(Result.Status == http::ExchangeStatus::Broken);
-      CHECK(Result.Detail == "response too large");
-      Sizes.push_back(Result.Response.Body.size());
-      if (Sizes.size() == std::size(Servers))
-        Loop.stop();
-    });
+    Client.start(Each.url(), Message, Options,
+                 [&](http::ExchangeResult Result) {
+                   CHECK(Result.Status == http::ExchangeStatus::Broken);
+                   CHECK(Result.Detail == "response too large");
+                   Sizes.push_back(Result.Response.Body.size());
+                   if (Sizes.size() == std::size(Servers))
+                     Loop.stop();
+                 });
   Loop.run();
   for (const std::size_t Size : Sizes)
     CHECK(Size <= kMaxBodyBytes);
