--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,13 +1,12 @@
-"""A daemon is killed just after its upstream has taken itself off the list.
+"""The machine that follows the store for its zone is partitioned from it.
 
-The upstream on m-2 leaves with DELETE first, which its daemon acknowledges,
-and goes on serving. The daemon is killed and started again. A heartbeat that
-the upstream sent before it left arrives seconds late, at the new process.
+Four machines in one zone. One of them is partitioned from the store and goes
+on otherwise. The operator takes a key away and moves a route to another
+service. The other machines run, and reach the store, all the while.
 """
 
 import asyncio
 import os
-import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -15,63 +14,93 @@
 import harness  # noqa: E402
 
 HOST = "walks.example"
-DRAIN_S = 2.5
+CONFIG_APPLY_S = 2.5
 STABLE_WINDOW_S = 4.0
-RESTART_DELAY_S = 0.5
-BEAT_LATE_S = 2.5
-# The leaving upstream serves for drain_ms after the acknowledgement and many
-# seconds longer.
-SERVES_S = 12.0
+CUT_S = 5.5
+OPERATOR_TOPIC = "keyed.op"
+
+
+def follower(case):
+    """Name of the machine whose read of the operator's topic waits at the
+    store; the others read without waiting."""
+    waiting = [(time, name) for (name, topic, wait), time
+               in case.store.reads.items()
+               if topic == OPERATOR_TOPIC and wait > 0]
+    return max(waiting)[1] if waiting else ""
+
+
+def last_short_read(case, names):
+    """Time of the last read without waiting by one of the machines."""
+    return max([time for (name, topic, wait), time in case.store.reads.items()
+                if topic == OPERATOR_TOPIC and wait == 0 and name in names],
+               default=0)
+
+
+def configure(version, service, keys):
+    return harness.configuration(
+        version,
+        [harness.route("r-look", HOST, "/look/", "idempotent", "new"),
+         harness.route("r-moved", HOST, "/moved/", "idempotent", service),
+         harness.route("r-keyed", HOST, "/keyed/", "idempotent", "new",
+                       public=False)],
+        ["old", "new"],
+        [{"name": "walks", "api_keys": keys, "priority": 1,
+          "rate_per_s": 0, "burst": 0}])
 
 
 async def run(case):
-    entry = case.machine("m-1", "front", "zone-a")
-    leaving = case.machine("m-2", "back", "zone-a")
-    staying = case.machine("m-3", "back", "zone-a")
-    machines = [entry, leaving, staying]
-    front, gone, back = [
-        harness.Upstream(case, each, "i-" + each.name, each.service)
-        for each in machines]
-    await case.store.configure(harness.configuration(
-        1, [harness.route("r-look", HOST, "/", "idempotent", "back")],
-        ["front", "back"]))
+    services = ["old", "new", "old", "new"]
+    machines = [case.machine("m-%d" % number, service) for number, service
+                in enumerate(services, 1)]
+    upstreams = [harness.Upstream(case, each, "i-" + each.name, each.service)
+                 for each in machines]
+    await case.store.configure(configure(1, "old", ["key-1", "key-2"]))
     for each in machines:
         await each.start()
-    for each in (front, gone, back):
+    for each in upstreams:
         await each.start()
     await case.all_served(machines, HOST, "/look/1")
-    await asyncio.sleep(6)
-    # No heartbeat follows the DELETE; the late one was sent before it.
-    gone.beating.cancel()
-    late_beat = gone.heartbeat()
-    if await gone.report("DELETE") != 200:
-        raise harness.CannotRun("DELETE is not acknowledged")
-    acknowledged_at = case.record.now()
+    # Traffic starts 8 s after the machines.
+    await asyncio.sleep(8)
+    cut = next(each for each in machines if each.name == follower(case))
+    others = [each for each in machines if each is not cut]
+    names = [each.name for each in others]
+    case.record.write("follower", machine=cut.name)
     if case.trouble:
-        leaving.signal(signal.SIGKILL)
-        await leaving.ended(2)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await leaving.start()
-    await asyncio.sleep(max(
-        0, acknowledged_at + BEAT_LATE_S - case.record.now()))
-    case.record.write("late_heartbeat", server=gone.id)
-    await gone.report(body=late_beat)
-    await asyncio.sleep(max(
-        0, acknowledged_at + STABLE_WINDOW_S + 2 - case.record.now()))
-    sent = {}
-    while case.record.now() < acknowledged_at + SERVES_S:
-        attempt = case.attempt_id()
-        sent[attempt] = case.record.now()
-        await case.send(entry, "GET", HOST, "/look/1", 1000, attempt=attempt)
+        case.store.cut_off.add(cut.name)
+        case.record.write("partitioned_from_store", machine=cut.name)
+    cut_at = case.record.now()
+    # The change comes within the cut, after a read of one of the others.
+    before = case.record.now()
+    while (case.trouble and last_short_read(case, names) <= before
+           and case.record.now() < cut_at + CUT_S - CONFIG_APPLY_S - 0.6):
+        await asyncio.sleep(0.02)
+    await case.store.configure(configure(2, "new", ["key-1"]))
+    acknowledged_at = case.record.now()
+    await asyncio.sleep(CONFIG_APPLY_S + 0.1)
+    late = []
+    while case.record.now() < cut_at + CUT_S:
+        for each in others:
+            sent_at = case.record.now()
+            moved, _ = await case.send(each, "GET", HOST, "/moved/1", 1000)
+            keyed, _ = await case.send(each, "GET", HOST, "/keyed/1", 1000,
+                                       "key-2")
+            late.append((each.name, sent_at, moved, keyed))
         await asyncio.sleep(0.1)
-    reached = [(time, attempt) for time, attempt in gone.runs
-               if attempt in sent and time > acknowledged_at + DRAIN_S]
-    print("%d of %d requests reached the upstream that has left" % (
-        len(reached), len(sent)))
-    for time, attempt in reached[:3]:
-        case.violated("DRAIN: a request reaches an upstream %.2f s after the "
-                      "acknowledgement that it is gone"
-                      % (time - acknowledged_at), attempt=attempt)
+    case.store.cut_off.clear()
+    case.record.write("cut_healed")
+    ran_by = {attempt: upstream.service for upstream in upstreams
+              for _, attempt in upstream.runs}
+    for name, sent_at, moved, keyed in late:
+        after = sent_at - acknowledged_at
+        if ran_by.get(moved) == "old":
+            case.violated("CONFIG: %.2f s after the acknowledgement %s sends "
+                          "a request to the old service" % (after, name),
+                          attempt=moved)
+        if keyed in ran_by:
+            case.violated("CONFIG: %.2f s after the acknowledgement %s lets a "
+                          "request with a dropped key run" % (after, name),
+                          attempt=keyed)
 
 
 harness.main(run, FOLDER)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -242,6 +242,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
+        # An upstream that leaves says so in all its answers.
+        self.leaving = False
         self.running = 0
         self.runs = []
         self.server = None
@@ -329,10 +331,11 @@
             self.running -= 1
 
     def success(self, attempt, status=200):
-        return answer_bytes(status, [
-            ("X-Attempt-Id", attempt),
-            ("X-Response-Signature", self.id + "." + attempt)],
-            b"answer to " + attempt.encode())
+        headers = [("X-Attempt-Id", attempt),
+                   ("X-Response-Signature", self.id + "." + attempt)]
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
+        return answer_bytes(status, headers, b"answer to " + attempt.encode())
 
 
 class Machine:
