Make the case of the cut-off reader independent of the phase of the reads

The cut begins when all other machines have just read, so that the case doesn't depend on which machine follows the store.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,11 +29,14 @@
     return max(waiting)[1] if waiting else ""
 
 
-def last_short_read(case, names):
-    """Time of the last read without waiting by one of the machines."""
-    return max([time for (name, topic, wait), time in case.store.reads.items()
-                if topic == OPERATOR_TOPIC and wait == 0 and name in names],
-               default=0)
+def just_read(case, names):
+    """Whether all of these machines have read without waiting within the last
+    second, and none within the last tenth."""
+    last = [max([time for (name, topic, wait), time in case.store.reads.items()
+                 if topic == OPERATOR_TOPIC and wait == 0 and name == each],
+                default=0) for each in names]
+    now = case.record.now()
+    return min(last) > now - 1.0 and max(last) < now - 0.1
 
 
 def configure(version, service, keys):
@@ -66,15 +69,14 @@
     others = [each for each in machines if each is not cut]
     names = [each.name for each in others]
     case.record.write("follower", machine=cut.name)
+    # The cut begins, and the change comes, after a read of the others.
+    await case.wait_until(lambda: just_read(case, names), 20,
+                          "the other machines read the operator's topic")
     if case.trouble:
         case.store.cut_off.add(cut.name)
         case.record.write("partitioned_from_store", machine=cut.name)
     cut_at = case.record.now()
-    # The change comes within the cut, after a read of one of the others.
-    before = case.record.now()
-    while (case.trouble and last_short_read(case, names) <= before
-           and case.record.now() < cut_at + CUT_S - CONFIG_APPLY_S - 0.6):
-        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.3)
     await case.store.configure(configure(2, "new", ["key-1"]))
     acknowledged_at = case.record.now()
     await asyncio.sleep(CONFIG_APPLY_S + 0.1)
