Don't take bytes of an earlier response for the beginning of the next

Cause: libcurl 7.88 takes a pooled connection with unread input for alive and reads the bytes as the beginning of the next response; the attempt id of the real response behind them made the check of the id pass. Ruled out: the check of the id alone, since the bytes carry no id of their own.

Change: a pooled connection with unread input is closed before anything is sent, and another one is used, in both HTTP clients. A head that isn't a single well-formed head breaks the exchange, and the outcome is unknown. server_connections_rejected counts such connections.

--- a/src/http/asyncclient.h
+++ b/src/http/asyncclient.h
@@ -5,6 +5,7 @@
 #include "http/client.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,7 +30,8 @@
   /// is read, and not called if the transfer fails before that; may be empty.
   /// Must not start or cancel transfers.
   std::function<void(const Response &Message)> OnHeaders;
-  /// Uses a new connection and closes it after the response.
+  /// Opens a new connection, on which no earlier response can arrive. It is
+  /// pooled after the response.
   bool FreshConnection = false;
 };
 
@@ -44,7 +46,13 @@
 /// An HTTP/1.1 client over libcurl's multi interface on an event loop. A
 /// request is sent at most once: if a reused connection turns out to be closed
 /// by the server after libcurl has started to send the request, the transfer
-/// completes with `Broken`.
+/// completes with `Broken`. So does one whose response is malformed or ends
+/// within its headers.
+///
+/// A pooled connection on which anything has arrived since its last response is
+/// closed instead of reused. Bytes of an earlier response may still arrive
+/// while a request is being sent; whether a response belongs to the request is
+/// for the caller to check.
 class AsyncClient {
 public:
   using Callback = std::function<void(ExchangeResult)>;
@@ -64,6 +72,10 @@
   /// transfer has already completed.
   bool cancel(TransferId Id);
 
+  /// Number of pooled connections that were closed instead of reused, because
+  /// their server had closed them or had sent bytes that belong to no response.
+  std::uint64_t rejectedConnections() const;
+
   /// Number of transfers that have not completed.
   std::size_t activeTransfers() const;
 
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -1,5 +1,6 @@
 #include "http/asyncclient.h"
 
+#include "http/internal/connectionsockets.h"
 #include "http/internal/curlsupport.h"
 
 #include <linux/tcp.h>
@@ -40,6 +41,7 @@
 
 struct Transfer {
   TransferId Id;
+  ConnectionSockets *Sockets = nullptr;
   CURL *Handle = nullptr;
   curl_slist *Headers = nullptr;
   Request Message;
@@ -48,6 +50,8 @@
   AsyncClient::Callback Done;
   /// libcurl has started to send the request.
   bool SendStarted = false;
+  /// The connection that libcurl has chosen can't be used; nothing was sent.
+  bool ConnectionRejected = false;
   /// Header and body bytes when the last progress was seen, and the reads since
   /// then.
   std::size_t ParsedBytes = 0;
@@ -84,11 +88,22 @@
 
 /// Called by libcurl before it sends the request. libcurl repeats a request
 /// when a reused connection turns out to be closed; this aborts the second
-/// attempt.
-int onPreRequest(void *Context, char *, char *, int, int) {
+/// attempt. A pooled connection with unread input is rejected: libcurl would
+/// take bytes of an earlier response for the beginning of the next.
+int onPreRequest(void *Context, char *, char *, int RemotePort, int LocalPort) {
   auto &Current = *static_cast<Transfer *>(Context);
-  return std::exchange(Current.SendStarted, true) ? CURL_PREREQFUNC_ABORT
-                                                  : CURL_PREREQFUNC_OK;
+  if (Current.SendStarted)
+    return CURL_PREREQFUNC_ABORT;
+  long Connects = 0;
+  curl_easy_getinfo(Current.Handle, CURLINFO_NUM_CONNECTS, &Connects);
+  if (Connects == 0 &&
+      !Current.Sockets->isIdle(static_cast<std::uint16_t>(LocalPort),
+                               static_cast<std::uint16_t>(RemotePort))) {
+    Current.ConnectionRejected = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  Current.SendStarted = true;
+  return CURL_PREREQFUNC_OK;
 }
 
 /// Prevents libcurl from opening another connection for a repeated request.
@@ -96,7 +111,7 @@
   auto &Current = *static_cast<Transfer *>(Context);
   if (Current.SendStarted)
     return CURL_SOCKET_BAD;
-  return socket(Address->family, Address->socktype, Address->protocol);
+  return Current.Sockets->open(*Address);
 }
 
 } // namespace
@@ -106,6 +121,8 @@
 
   eventloop::EventLoop &Loop;
   CURLM *Multi = nullptr;
+  ConnectionSockets Sockets;
+  std::uint64_t RejectedConnections = 0;
   BodyBudget Budget;
   std::uint64_t NextId = 1;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> Transfers;
@@ -126,6 +143,12 @@
       curl_easy_getinfo(Info->easy_handle, CURLINFO_PRIVATE, &Finished);
       const CURLcode Code = Info->data.result;
       curl_multi_remove_handle(Multi, Finished->Handle);
+      if (std::exchange(Finished->ConnectionRejected, false)) {
+        // libcurl has closed that connection and chooses another one.
+        ++RejectedConnections;
+        curl_multi_add_handle(Multi, Finished->Handle);
+        continue;
+      }
       auto Node = Transfers.extract(Finished->Id);
       ExchangeResult Result =
           makeResult(Finished->Handle, Code, Finished->Collector);
@@ -212,10 +235,9 @@
     curl_easy_setopt(Handle, CURLOPT_PREREQDATA, &Current);
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETDATA, &Current);
-    if (Options.FreshConnection) {
+    Sockets.attach(Handle);
+    if (Options.FreshConnection)
       curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
-    }
   }
 };
 
@@ -247,6 +269,7 @@
   auto Created = std::make_unique<Transfer>();
   Transfer &Current = *Created;
   Current.Id = TransferId(Impl->NextId++);
+  Current.Sockets = &Impl->Sockets;
   Current.Handle = curl_easy_init();
   Current.Message = Message;
   Current.Done = std::move(Done);
@@ -282,6 +305,10 @@
   return true;
 }
 
+std::uint64_t AsyncClient::rejectedConnections() const {
+  return Impl->RejectedConnections;
+}
+
 std::size_t AsyncClient::activeTransfers() const {
   return Impl->Transfers.size();
 }
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,7 +1,10 @@
 #include "http/client.h"
 
+#include "http/internal/connectionsockets.h"
 #include "http/internal/curlsupport.h"
 
+#include <utility>
+
 namespace http {
 
 namespace {
@@ -16,10 +19,47 @@
 
 struct Client::State {
   CURL *Handle = curl_easy_init();
+  ConnectionSockets Sockets;
+  /// The connection that libcurl has chosen can't be used; nothing was sent.
+  bool ConnectionRejected = false;
+
   ~State() { curl_easy_cleanup(Handle); }
 
+  static curl_socket_t openSocket(void *Self, curlsocktype,
+                                  curl_sockaddr *Address) {
+    return static_cast<State *>(Self)->Sockets.open(*Address);
+  }
+
+  /// Rejects a reused connection with unread input; see `AsyncClient`.
+  static int onPreRequest(void *Self, char *, char *, int RemotePort,
+                          int LocalPort) {
+    auto &Impl = *static_cast<State *>(Self);
+    long Connects = 0;
+    curl_easy_getinfo(Impl.Handle, CURLINFO_NUM_CONNECTS, &Connects);
+    Impl.ConnectionRejected =
+        Connects == 0 &&
+        !Impl.Sockets.isIdle(static_cast<std::uint16_t>(LocalPort),
+                             static_cast<std::uint16_t>(RemotePort));
+    return Impl.ConnectionRejected ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  }
+
+  /// Performs the transfer, on another connection if the one that libcurl
+  /// chooses is rejected.
+  CURLcode perform() {
+    CURLcode Code = CURLE_OK;
+    do
+      Code = curl_easy_perform(Handle);
+    while (std::exchange(ConnectionRejected, false));
+    return Code;
+  }
+
   void applyOptions(const ExchangeOptions &Options) {
     applyCommonOptions(Handle, Options.Timeout, Options.ConnectTimeout);
+    curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
+    curl_easy_setopt(Handle, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &onPreRequest);
+    curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
+    Sockets.attach(Handle);
     if (Options.FreshConnection) {
       curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
@@ -65,7 +105,7 @@
   collectResponse(Impl->Handle, Collector);
   curl_slist *HeaderList = makeHeaderList(Message);
   curl_easy_setopt(Impl->Handle, CURLOPT_HTTPHEADER, HeaderList);
-  const CURLcode Code = curl_easy_perform(Impl->Handle);
+  const CURLcode Code = Impl->perform();
   curl_slist_free_all(HeaderList);
   ExchangeResult Result = makeResult(Impl->Handle, Code, Collector);
   if (Result.Status == ExchangeStatus::TimedOut && Impl->nothingSent())
--- /dev/null
+++ b/src/http/internal/connectionsockets.cpp
@@ -0,0 +1,77 @@
+#include "http/internal/connectionsockets.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace http {
+
+namespace {
+
+std::uint32_t portKey(std::uint16_t LocalPort, std::uint16_t RemotePort) {
+  return std::uint32_t{LocalPort} << 16U | RemotePort;
+}
+
+/// Whether a read from the socket would wait.
+bool hasNoInput(curl_socket_t Socket) {
+  char Byte = 0;
+  return recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+void ConnectionSockets::attach(CURL *Handle) {
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &onClose);
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
+}
+
+curl_socket_t ConnectionSockets::open(const curl_sockaddr &Address) {
+  const curl_socket_t Socket =
+      socket(Address.family, Address.socktype, Address.protocol);
+  if (Socket != CURL_SOCKET_BAD)
+    Opened.push_back(Socket);
+  return Socket;
+}
+
+int ConnectionSockets::onClose(void *Self, curl_socket_t Socket) {
+  auto &Sockets = *static_cast<ConnectionSockets *>(Self);
+  std::erase(Sockets.Opened, Socket);
+  std::erase_if(Sockets.Connected,
+                [Socket](const auto &Each) { return Each.second == Socket; });
+  return close(Socket);
+}
+
+void ConnectionSockets::readPorts() {
+  std::erase_if(Opened, [this](curl_socket_t Socket) {
+    sockaddr_in Local{};
+    sockaddr_in Remote{};
+    socklen_t LocalLength = sizeof(Local);
+    socklen_t RemoteLength = sizeof(Remote);
+    if (getsockname(Socket, reinterpret_cast<sockaddr *>(&Local),
+                    &LocalLength) != 0 ||
+        getpeername(Socket, reinterpret_cast<sockaddr *>(&Remote),
+                    &RemoteLength) != 0)
+      return false;
+    Connected.emplace(portKey(ntohs(Local.sin_port), ntohs(Remote.sin_port)),
+                      Socket);
+    return true;
+  });
+}
+
+bool ConnectionSockets::isIdle(std::uint16_t LocalPort,
+                               std::uint16_t RemotePort) {
+  readPorts();
+  // Connections to two servers may have the same ports. Then input on either
+  // counts, which only costs a new connection.
+  const auto [First, Last] =
+      Connected.equal_range(portKey(LocalPort, RemotePort));
+  return std::all_of(First, Last,
+                     [](const auto &Each) { return hasNoInput(Each.second); });
+}
+
+} // namespace http
--- /dev/null
+++ b/src/http/internal/connectionsockets.h
@@ -0,0 +1,42 @@
+#ifndef JACKDAW_HTTP_INTERNAL_CONNECTIONSOCKETS_H
+#define JACKDAW_HTTP_INTERNAL_CONNECTIONSOCKETS_H
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace http {
+
+/// The sockets of a client's connections. libcurl doesn't tell which socket a
+/// transfer will use before it has sent the request; this finds it by the
+/// connection's local port. Must outlive the connections.
+class ConnectionSockets {
+public:
+  /// Makes the connections that the handle's transfers open report their end
+  /// here. `open` must be called for each of their sockets.
+  void attach(CURL *Handle);
+
+  /// Creates the socket of a new connection.
+  curl_socket_t open(const curl_sockaddr &Address);
+
+  /// Whether nothing has arrived on the connection between these ports since
+  /// the last response: neither its end nor bytes, which would belong to no
+  /// response.
+  bool isIdle(std::uint16_t LocalPort, std::uint16_t RemotePort);
+
+private:
+  static int onClose(void *Self, curl_socket_t Socket);
+  void readPorts();
+
+  /// Sockets by the ports of their connection; see `portKey`.
+  std::unordered_multimap<std::uint32_t, curl_socket_t> Connected;
+  /// Sockets whose ports haven't been read, since they are assigned when the
+  /// connection is opened.
+  std::vector<curl_socket_t> Opened;
+};
+
+} // namespace http
+
+#endif // JACKDAW_HTTP_INTERNAL_CONNECTIONSOCKETS_H
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <mutex>
+#include <optional>
+#include <utility>
 
 namespace http {
 
@@ -32,7 +34,7 @@
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   const std::size_t Bytes = Size * Count;
   if (!reserveBody(Collector, Bytes)) {
-    Collector.TooLarge = true;
+    Collector.Problem = "response too large";
     return 0;
   }
   Collector.Response.Body.append(Data, Bytes);
@@ -44,56 +46,125 @@
 /// KiB that `AsyncServer` can write in one header.
 constexpr std::size_t kMaxHeaderBytes = 60 << 10;
 
-/// Status in a status line, such as `HTTP/1.1 200 OK`; 0 if there is none.
+constexpr std::string_view kVersionPrefix = "HTTP/1.";
+constexpr std::size_t kStatusDigits = 3;
+
+bool isDigit(char C) { return C >= '0' && C <= '9'; }
+
+/// Length of a status line's beginning, such as `HTTP/1.1 200`, at the start of
+/// the text; 0 if there is none.
+std::size_t statusLineStart(std::string_view Text) {
+  const std::size_t StatusAt = kVersionPrefix.size() + 2;
+  const std::size_t Length = StatusAt + kStatusDigits;
+  if (Text.size() < Length || !Text.starts_with(kVersionPrefix) ||
+      !isDigit(Text[kVersionPrefix.size()]) || Text[StatusAt - 1] != ' ' ||
+      !std::all_of(Text.begin() + StatusAt, Text.begin() + Length, isDigit))
+    return 0;
+  return Length;
+}
+
+/// Whether a status line begins within the text: the rest of one response
+/// followed by the next.
+bool containsStatusLine(std::string_view Text) {
+  for (std::size_t At = Text.find(kVersionPrefix); At != std::string_view::npos;
+       At = Text.find(kVersionPrefix, At + 1))
+    if (statusLineStart(Text.substr(At)) > 0)
+      return true;
+  return false;
+}
+
+/// Status in a status line, such as `HTTP/1.1 200 OK`; 0 if it is malformed.
 std::uint16_t statusIn(std::string_view Line) {
-  const std::size_t Space = Line.find(' ');
+  const std::size_t Length = statusLineStart(Line);
+  if (Length == 0 || (Line.size() > Length && Line[Length] != ' ') ||
+      containsStatusLine(Line.substr(1)))
+    return 0;
   std::uint16_t Status = 0;
-  if (Space != std::string_view::npos)
-    std::from_chars(Line.data() + Space + 1, Line.data() + Line.size(), Status);
+  std::from_chars(Line.data() + Length - kStatusDigits, Line.data() + Length,
+                  Status);
   return Status;
 }
 
-/// Called at the end of the headers of a response.
-void onHeadersComplete(ResponseCollector &Collector) {
+bool isTokenCharacter(char C) {
+  static constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return isDigit(C) || (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         Others.find(C) != std::string_view::npos;
+}
+
+/// Parses a header line without its line end. Returns no value if it is
+/// malformed, or is made of the lines of two responses.
+std::optional<Header> parseHeader(std::string_view Line) {
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || Colon == 0 ||
+      !std::all_of(Line.begin(), Line.begin() + Colon, isTokenCharacter))
+    return std::nullopt;
+  std::string_view Value = Line.substr(Colon + 1);
+  if (Value.find('\r') != std::string_view::npos || containsStatusLine(Value))
+    return std::nullopt;
+  Value.remove_prefix(std::min(Value.find_first_not_of(" \t"), Value.size()));
+  Value = Value.substr(0, Value.find_last_not_of(" \t") + 1);
+  return Header{std::string(Line.substr(0, Colon)), std::string(Value)};
+}
+
+/// Called at the end of the headers of a response. Returns the problem if they
+/// are malformed, or null.
+const char *onHeadersComplete(ResponseCollector &Collector) {
   if (Collector.AllowReuse && !Collector.AllowReuse(Collector.Response))
     curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
-  if (Collector.Response.Status < kFirstFinalStatus)
-    return;
+  if (Collector.Response.Status < kFirstFinalStatus) {
+    Collector.InHeaders = false;
+    return nullptr;
+  }
   Collector.HeadersComplete = true;
   if (Collector.OnHeaders)
     Collector.OnHeaders(Collector.Response);
+  return nullptr;
 }
 
+/// Called for each line from the status line to the empty one. Returns the
+/// problem if the response is malformed, or null.
+const char *onHeaderLine(ResponseCollector &Collector, std::string_view Line) {
+  // Each status line starts a new set of headers; those of an interim (1xx)
+  // response are dropped.
+  if (!Collector.InHeaders) {
+    Collector.InHeaders = true;
+    Collector.Response.Headers.clear();
+    Collector.Response.Status = statusIn(Line);
+    return Collector.Response.Status == 0 ? "malformed status line" : nullptr;
+  }
+  if (Line.empty())
+    return onHeadersComplete(Collector);
+  auto Parsed = parseHeader(Line);
+  if (!Parsed)
+    return "malformed header line";
+  Collector.Response.Headers.push_back(std::move(*Parsed));
+  return nullptr;
+}
+
+/// Aborts the transfer by returning 0.
 std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                      void *Context) {
   auto &Collector = *static_cast<ResponseCollector *>(Context);
-  const std::string_view Line(Data, Size * Count);
-  Collector.HeaderBytes += Line.size();
+  std::string_view Line(Data, Size * Count);
+  const std::size_t Length = Line.size();
+  Collector.HeaderBytes += Length;
   if (Collector.HeaderBytes > kMaxHeaderBytes) {
-    Collector.TooLarge = true;
+    Collector.Problem = "response too large";
     return 0;
   }
   // What follows are trailers. They must not replace missing headers.
   if (Collector.HeadersComplete)
-    return Line.size();
-  // Each status line starts a new set of headers; those of an interim (1xx)
-  // response are dropped.
-  if (Line.starts_with("HTTP/")) {
-    Collector.Response.Headers.clear();
-    Collector.Response.Status = statusIn(Line);
+    return Length;
+  if (!Line.ends_with('\n')) {
+    Collector.Problem = "header line without an end";
+    return 0;
   }
-  const std::size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos) {
-    if (Line == "\r\n" || Line == "\n")
-      onHeadersComplete(Collector);
-    return Line.size();
+  Line.remove_suffix(Line.ends_with("\r\n") ? 2 : 1);
+  if (const char *Problem = onHeaderLine(Collector, Line)) {
+    Collector.Problem = Problem;
+    return 0;
   }
-  std::string_view Value = Line.substr(Colon + 1);
-  Value.remove_prefix(std::min(Value.find_first_not_of(" \t"), Value.size()));
-  Value = Value.substr(0, Value.find_last_not_of(" \t\r\n") + 1);
-  Collector.Response.Headers.push_back(
-      {std::string(Line.substr(0, Colon)), std::string(Value)});
-  return Line.size();
+  return Length;
 }
 
 /// At least 1, because 0 means no timeout to libcurl.
@@ -183,15 +254,12 @@
   ExchangeResult Result;
   Result.Status = statusForCode(Code);
   if (Code != CURLE_OK)
-    Result.Detail =
-        Collector.TooLarge ? "response too large" : curl_easy_strerror(Code);
-  long Status = 0;
-  curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+    Result.Detail = Collector.Problem != nullptr ? Collector.Problem
+                                                 : curl_easy_strerror(Code);
   long Connects = 0;
   curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Connects);
   Result.NewConnection = Connects > 0;
   Result.Response = std::move(Collector.Response);
-  Result.Response.Status = static_cast<std::uint16_t>(Status);
   return Result;
 }
 
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -26,17 +26,21 @@
   ResponseCollector(const ResponseCollector &) = delete;
   ~ResponseCollector();
 
-  http::Response Response;
+  /// Its status is 0 until a status line has been received.
+  http::Response Response{0, {}, "", false};
   /// Upper bound of the body.
   std::size_t MaxBytes = 0;
   /// May be null.
   BodyBudget *Budget = nullptr;
   /// Bytes of this response in `Budget`.
   std::size_t BudgetedBytes = 0;
-  bool TooLarge = false;
+  /// Why the response was rejected; null unless it was.
+  const char *Problem = nullptr;
   /// Bytes of header lines received so far: of interim responses, of the
   /// response and of its trailers, which are dropped.
   std::size_t HeaderBytes = 0;
+  /// Between a status line and the empty line after its headers.
+  bool InHeaders = false;
   /// The headers of the final response are complete.
   bool HeadersComplete = false;
   /// See `TransferOptions`; may be empty.
--- /dev/null
+++ b/src/http/tests/strayresponsetest.cpp
@@ -0,0 +1,224 @@
+#include "http/asyncclient.h"
+#include "http/tests/loopbacklistener.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+    "Retry-After: 0.250\r\nAttempt: earlier\r\nContent-Length: 0\r\n\r\n";
+const std::string kInterim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+const std::string kChunked = "HTTP/1.1 200 OK\r\nAttempt: earlier\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+const std::string kResponse = "HTTP/1.1 200 OK\r\nAttempt: own\r\n"
+                              "Content-Length: 4\r\n\r\ndone";
+
+/// Far longer than an exchange on the loopback interface takes.
+constexpr auto kTimeout = 1s;
+/// Time in which bytes on the loopback interface arrive.
+constexpr auto kArrivalTime = 20ms;
+
+/// A server whose first connection is spoiled: `BehindFirst` follows its first
+/// response in the same write, `WhileIdle` a moment later, and `BeforeSecond`
+/// and `Second` are the bytes for its second request. All other requests get
+/// `kResponse`.
+class SpoilingServer {
+public:
+  std::string BehindFirst;
+  std::string WhileIdle;
+  std::string BeforeSecond;
+  std::string Second = kResponse;
+  bool CloseAfterSecond = false;
+
+  void start() {
+    Acceptor = std::thread([this] { acceptAll(); });
+  }
+
+  ~SpoilingServer() {
+    Listener.stop();
+    Acceptor.join();
+    for (const int Each : Sockets)
+      shutdown(Each, SHUT_RDWR);
+    for (std::thread &Each : Workers)
+      Each.join();
+    for (const int Each : Sockets)
+      close(Each);
+  }
+
+  std::string url() const { return Listener.url(); }
+
+  std::atomic<int> Connections = 0;
+
+private:
+  void acceptAll() {
+    for (;;) {
+      const int Socket = Listener.acceptOne();
+      if (Socket < 0)
+        return;
+      const bool Spoiled = Connections++ == 0;
+      Sockets.push_back(Socket);
+      Workers.emplace_back([this, Socket, Spoiled] { serve(Socket, Spoiled); });
+    }
+  }
+
+  void serve(int Socket, bool Spoiled) {
+    char Buffer[4096];
+    for (int Count = 0; read(Socket, Buffer, sizeof(Buffer)) > 0; ++Count) {
+      if (!Spoiled || Count > 1) {
+        write(Socket, kResponse);
+      } else if (Count == 1) {
+        write(Socket, BeforeSecond + Second);
+        if (CloseAfterSecond)
+          shutdown(Socket, SHUT_WR);
+      } else {
+        write(Socket, kResponse + BehindFirst);
+        if (!WhileIdle.empty()) {
+          std::this_thread::sleep_for(kArrivalTime / 4);
+          write(Socket, WhileIdle);
+        }
+      }
+    }
+    // Closes the connection for the client; the descriptor stays open.
+    shutdown(Socket, SHUT_RDWR);
+  }
+
+  static void write(int Socket, const std::string &Bytes) {
+    (void)!send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+
+  LoopbackListener Listener;
+  std::thread Acceptor;
+  std::vector<std::thread> Workers;
+  std::vector<int> Sockets;
+};
+
+http::Request request() {
+  http::Request Message;
+  Message.Method = "GET";
+  Message.Path = "/";
+  return Message;
+}
+
+/// A client of the event loop, or a blocking one.
+struct Fixture {
+  http::ExchangeResult exchange(const std::string &Url) {
+    if (Blocking) {
+      http::ExchangeOptions Options;
+      Options.Timeout = kTimeout;
+      return Client.exchange(Url, request(), Options);
+    }
+    http::ExchangeResult Completion;
+    http::TransferOptions Options;
+    Options.Timeout = kTimeout;
+    AsyncClient.start(Url, request(), Options,
+                      [&](http::ExchangeResult Result) {
+                        Completion = std::move(Result);
+                        Loop.stop();
+                      });
+    Loop.run();
+    return Completion;
+  }
+
+  bool Blocking = false;
+  base::SystemClock Clock;
+  eventloop::EventLoop Loop{Clock};
+  http::AsyncClient AsyncClient{Loop};
+  http::Client Client;
+};
+
+/// Whether a result is the server's whole response to the request.
+bool isOwnResponse(const http::ExchangeResult &Result) {
+  return Result.Status == http::ExchangeStatus::Completed &&
+         Result.Response.Status == 200 && Result.Response.Body == "done" &&
+         http::findHeader(Result.Response.Headers, "attempt") == "own";
+}
+
+} // namespace
+
+// Guards against bytes of an earlier response that are read as the beginning of
+// the next one.
+TEST_CASE_FIXTURE(Fixture, "a connection with bytes that belong to no response "
+                           "is not reused") {
+  SUBCASE("event loop") {}
+  SUBCASE("blocking") { Blocking = true; }
+  for (const std::string &Late : {kRefusal, kInterim, kChunked, kResponse})
+    for (const bool Behind : {true, false})
+      for (std::size_t Length = 1; Length <= Late.size(); Length += 7) {
+        CAPTURE(Late.substr(0, Length));
+        CAPTURE(Behind);
+        SpoilingServer Server;
+        (Behind ? Server.BehindFirst : Server.WhileIdle) =
+            Late.substr(0, Length);
+        Server.start();
+        CHECK(isOwnResponse(exchange(Server.url())));
+        std::this_thread::sleep_for(kArrivalTime);
+        CHECK(isOwnResponse(exchange(Server.url())));
+        CHECK(Server.Connections == 2);
+      }
+}
+
+// Guards against the beginning of an earlier response that arrives after the
+// request was sent and lends its status to the response.
+TEST_CASE_FIXTURE(Fixture, "a response behind the beginning of another one is "
+                           "not taken for a whole response") {
+  SUBCASE("event loop") {}
+  SUBCASE("blocking") { Blocking = true; }
+  for (const std::string &Late : {kRefusal, kInterim, kChunked})
+    for (std::size_t Length = 1; Length < Late.find("\r\n\r\n") + 4; ++Length) {
+      CAPTURE(Late.substr(0, Length));
+      SpoilingServer Server;
+      Server.BeforeSecond = Late.substr(0, Length);
+      Server.start();
+      CHECK(isOwnResponse(exchange(Server.url())));
+      const http::ExchangeResult Second = exchange(Server.url());
+      CHECK(Second.Status == http::ExchangeStatus::Broken);
+      CHECK(!Second.Detail.empty());
+    }
+}
+
+// Guards against a body whose end two readers see at different places, and
+// against headers that aren't what the server meant.
+TEST_CASE_FIXTURE(Fixture, "a response with ambiguous headers is rejected") {
+  std::string Lines;
+  SUBCASE("a continued line") { Lines = "X: 1\r\n Content-Length: 4"; }
+  SUBCASE("a space before the colon") { Lines = "Content-Length : 4"; }
+  SUBCASE("no name") { Lines = ": 4"; }
+  SUBCASE("a carriage return") { Lines = "X: 1\rContent-Length: 4"; }
+  SpoilingServer Server;
+  Server.Second = "HTTP/1.1 200 OK\r\n" + Lines + "\r\n\r\ndone";
+  Server.CloseAfterSecond = true;
+  Server.start();
+  CHECK(isOwnResponse(exchange(Server.url())));
+  CHECK(exchange(Server.url()).Status == http::ExchangeStatus::Broken);
+}
+
+// Guards against a check that is too strict for servers.
+TEST_CASE_FIXTURE(Fixture, "unusual but valid responses are accepted") {
+  std::string Head;
+  SUBCASE("no reason phrase") { Head = "HTTP/1.1 200\r\n"; }
+  SUBCASE("HTTP/1.0") { Head = "HTTP/1.0 200 OK\r\n"; }
+  SUBCASE("bare line feeds") { Head = "HTTP/1.1 200 OK\nX: 1\n"; }
+  SUBCASE("a protocol in a value") {
+    Head = "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n";
+  }
+  SUBCASE("an interim response") { Head = kInterim + "HTTP/1.1 200 OK\r\n"; }
+  SUBCASE("the same length twice") {
+    Head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+  }
+  SUBCASE("an empty value") { Head = "HTTP/1.1 200 OK\r\nX:\r\n"; }
+  SpoilingServer Server;
+  Server.Second = Head + "Attempt: own\r\nContent-Length: 4\r\n\r\ndone";
+  Server.start();
+  CHECK(isOwnResponse(exchange(Server.url())));
+  CHECK(isOwnResponse(exchange(Server.url())));
+  CHECK(Server.Connections == 1);
+}
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -279,6 +279,8 @@
     return;
   NextMaintenance = Now + kMaintenanceInterval;
   Executions.tick();
+  Metrics.gauge("server_connections_rejected")
+      .set(static_cast<std::int64_t>(Client.rejectedConnections()));
   Metrics.gauge("calls_queued").set(static_cast<std::int64_t>(Queued.size()));
   Metrics.gauge("calls_running").set(static_cast<std::int64_t>(Running.size()));
 }
@@ -322,13 +324,15 @@
   NewCall.StartedAt = Now;
   NewCall.QueueTime = QueueTime;
   NewCall.Server = Server.latestReport()->Server;
-  http::Request &Sent = Call.Message.Request;
+  http::Request &Request = Call.Message.Request;
   NewCall.AttemptId =
-      http::findHeader(Sent.Headers, Settings.Headers.AttemptId).value_or("");
-  Sent.Headers.push_back(
+      http::findHeader(Request.Headers, Settings.Headers.AttemptId)
+          .value_or("");
+  Request.Headers.push_back(
       {Settings.Headers.TimeLeft,
        std::to_string(std::max<std::int64_t>(1, milliseconds(Remaining)))});
-  Sent.Headers.push_back({Settings.Headers.ExpectedServer, NewCall.Server.Id});
+  Request.Headers.push_back(
+      {Settings.Headers.ExpectedServer, NewCall.Server.Id});
   http::TransferOptions Options;
   Options.Timeout = std::max<base::Duration>(Remaining, 1ms);
   Options.MaxIdleTime = MaxIdleTime;
@@ -346,7 +350,7 @@
   LoadMonitor.onForwarded(Call.Message.Inner, QueueTime);
   Correlator.add(Id, Now + Remaining, Call.Message.Context.Scope);
   NewCall.Transfer =
-      Client.start(Settings.ServerUrl, Sent, Options,
+      Client.start(Settings.ServerUrl, Request, Options,
                    [this, Id](http::ExchangeResult Exchange) {
                      onExchangeCompleted(Id, std::move(Exchange));
                    });
--- a/src/relay/tests/scriptedbackend.cpp
+++ b/src/relay/tests/scriptedbackend.cpp
@@ -63,6 +63,7 @@
 
 void ScriptedBackend::serve(int Socket) {
   std::string Pending;
+  std::string Late;
   std::array<char, 4096> Buffer;
   for (;;) {
     while (Pending.find("\r\n\r\n") == std::string::npos) {
@@ -77,10 +78,10 @@
       Requests.push_back(Request);
     }
     const Reaction Chosen = React(Request);
+    const std::string Bytes = std::exchange(Late, Chosen.Late) + Chosen.Bytes;
     ssize_t Sent = 0;
     do
-      Sent =
-          send(Socket, Chosen.Bytes.data(), Chosen.Bytes.size(), MSG_NOSIGNAL);
+      Sent = send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
     while (Chosen.Endless && Sent > 0);
     if (Chosen.Endless)
       return;
--- a/src/relay/tests/scriptedbackend.h
+++ b/src/relay/tests/scriptedbackend.h
@@ -21,6 +21,8 @@
     bool Hang = false;
     /// Repeat `Bytes` until the client closes the connection.
     bool Endless = false;
+    /// Sent on the same connection before the response to its next request.
+    std::string Late = {};
   };
   using Script = std::function<Reaction(const std::string &Request)>;
 
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -184,9 +184,8 @@
 http::TransferId
 TestFleet::send(std::size_t Index, const http::Request &Sent,
                 const std::function<void(http::ExchangeResult)> &Done) {
-  return Client->start("http://127.0.0.1:" +
-                           std::to_string(Nodes[Index]->Callers->port()),
-                       Sent, {}, [Done](http::ExchangeResult Result) {
+  return Client->start(callerUrl(Index), Sent, {},
+                       [Done](http::ExchangeResult Result) {
                          if (Done)
                            Done(std::move(Result));
                        });
--- a/src/relay/tests/testfleet.h
+++ b/src/relay/tests/testfleet.h
@@ -85,6 +85,10 @@
   void report(std::size_t Index, std::uint64_t Sequence, bool Draining,
               std::uint32_t Slots = 8, std::uint64_t StartTimeMillis = 1);
 
+  /// URL at which callers reach a daemon.
+  std::string callerUrl(std::size_t Index) const {
+    return "http://127.0.0.1:" + std::to_string(Nodes[Index]->Callers->port());
+  }
   relay::Daemon &daemon(std::size_t Index) { return *Nodes[Index]->Daemon; }
   http::AsyncClient &client() { return *Client; }
   base::MetricsRegistry &metrics() { return Metrics; }
