Don't take a response that ends within its headers for a whole one

Cause: libcurl reports success if a connection ends after a header line. Change: an exchange is complete only after the empty line of the final head. A head with two different lengths, or with a length and chunks, is rejected too: two readers may see its end at different places.

--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -106,9 +106,24 @@
   return Header{std::string(Line.substr(0, Colon)), std::string(Value)};
 }
 
+/// Whether the headers state one length of the body at most.
+bool hasSingleLength(const std::vector<Header> &Headers) {
+  std::optional<std::string> Length;
+  for (const Header &Each : Headers) {
+    const bool States = sameHeaderName(Each.Name, "content-length");
+    if (States && Length && *Length != Each.Value)
+      return false;
+    if (States)
+      Length = Each.Value;
+  }
+  return !Length || !findHeader(Headers, "transfer-encoding");
+}
+
 /// Called at the end of the headers of a response. Returns the problem if they
 /// are malformed, or null.
 const char *onHeadersComplete(ResponseCollector &Collector) {
+  if (!hasSingleLength(Collector.Response.Headers))
+    return "two lengths in the headers of the response";
   if (Collector.AllowReuse && !Collector.AllowReuse(Collector.Response))
     curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
   if (Collector.Response.Status < kFirstFinalStatus) {
@@ -256,6 +271,11 @@
   if (Code != CURLE_OK)
     Result.Detail = Collector.Problem != nullptr ? Collector.Problem
                                                  : curl_easy_strerror(Code);
+  // libcurl reports success if the connection ends within the headers.
+  if (Code == CURLE_OK && !Collector.HeadersComplete) {
+    Result.Status = ExchangeStatus::Broken;
+    Result.Detail = "the connection ended within the headers of the response";
+  }
   long Connects = 0;
   curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Connects);
   Result.NewConnection = Connects > 0;
--- a/src/http/tests/strayresponsetest.cpp
+++ b/src/http/tests/strayresponsetest.cpp
@@ -185,10 +185,35 @@
     }
 }
 
+// Guards against a response that is cut within its headers and looks like a
+// whole one without a body.
+TEST_CASE_FIXTURE(Fixture, "a response that ends within its headers is not a "
+                           "whole response") {
+  SUBCASE("event loop") {}
+  SUBCASE("blocking") { Blocking = true; }
+  for (std::size_t Length = 0; Length < kResponse.size(); ++Length) {
+    CAPTURE(kResponse.substr(0, Length));
+    SpoilingServer Server;
+    Server.Second = kResponse.substr(0, Length);
+    Server.CloseAfterSecond = true;
+    Server.start();
+    CHECK(isOwnResponse(exchange(Server.url())));
+    // The blocking client lets libcurl repeat the request if the reused
+    // connection ends before a header.
+    const http::ExchangeResult Second = exchange(Server.url());
+    CHECK((Second.Status == http::ExchangeStatus::Broken ||
+           (Blocking && isOwnResponse(Second))));
+  }
+}
+
 // Guards against a body whose end two readers see at different places, and
 // against headers that aren't what the server meant.
 TEST_CASE_FIXTURE(Fixture, "a response with ambiguous headers is rejected") {
   std::string Lines;
+  SUBCASE("two lengths") { Lines = "Content-Length: 4\r\nContent-Length: 3"; }
+  SUBCASE("a length and chunks") {
+    Lines = "Content-Length: 4\r\nTransfer-Encoding: chunked";
+  }
   SUBCASE("a continued line") { Lines = "X: 1\r\n Content-Length: 4"; }
   SUBCASE("a space before the colon") { Lines = "Content-Length : 4"; }
   SUBCASE("no name") { Lines = ": 4"; }
