Send a call to the same server again on a new connection

Cause: the echo of the attempt id was taken for proof, also on a connection on which the id had been sent before.

Change: the daemon beside the server remembers the attempt ids that it has sent until their deadlines; a request whose id was sent before, or that has none, gets a new connection. Different attempt ids or signatures in one response prove nothing.

--- a/src/http/internal/message.cpp
+++ b/src/http/internal/message.cpp
@@ -36,6 +36,16 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+findSingularHeader(const std::vector<Header> &Headers, std::string_view Name) {
+  const auto First = findHeader(Headers, Name);
+  const bool Ambiguous =
+      std::any_of(Headers.begin(), Headers.end(), [&](const Header &Each) {
+        return sameHeaderName(Each.Name, Name) && Each.Value != First;
+      });
+  return Ambiguous ? std::nullopt : First;
+}
+
 bool isHopByHopHeader(std::string_view Name) {
   static constexpr std::array<std::string_view, 12> Names{
       "connection",          "keep-alive", "proxy-connection",  "te",
--- a/src/relay/callexecutor.h
+++ b/src/relay/callexecutor.h
@@ -11,6 +11,7 @@
 #include "relay/localserverstate.h"
 #include "relay/messages.h"
 #include "relay/refusalreason.h"
+#include "relay/sentattempts.h"
 #include "relay/serverloadmonitor.h"
 #include "relay/servernotices.h"
 #include "relay/structuredlog.h"
@@ -134,6 +135,7 @@
   LocalServerState Server;
   ServerLoadMonitor LoadMonitor;
   execution::ExecutionTable Executions;
+  SentAttempts Sent;
   overload::WorkQueue Queue;
   overload::StatedRateLimit RateLimit;
   ServerNotices Notices;
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -83,7 +83,7 @@
       Peers(Peers), Correlator(Correlator),
       Client(Loop, {.MaxBodyBytes = kMaxBufferedBytes}), Server(InitialState),
       LoadMonitor(Loop.clock(), Metrics, Log),
-      Executions(Loop.clock(), this->Settings.Self),
+      Executions(Loop.clock(), this->Settings.Self), Sent(Loop.clock()),
       Queue(Loop.clock(), {kQueueLength, kMaxQueueTime}),
       RateLimit(Loop.clock()), Notices(Peers),
       Limit(std::make_unique<overload::FixedLimit>(
@@ -279,6 +279,7 @@
     return;
   NextMaintenance = Now + kMaintenanceInterval;
   Executions.tick();
+  Sent.tick();
   Metrics.gauge("server_connections_rejected")
       .set(static_cast<std::int64_t>(Client.rejectedConnections()));
   Metrics.gauge("calls_queued").set(static_cast<std::int64_t>(Queued.size()));
@@ -337,9 +338,11 @@
   Options.Timeout = std::max<base::Duration>(Remaining, 1ms);
   Options.MaxIdleTime = MaxIdleTime;
   Options.MaxResponseBytes = kMaxResponseBytes;
+  Options.FreshConnection = Sent.record(NewCall.AttemptId, Now + Remaining);
   Options.AllowReuse =
       [this, Attempt = NewCall.AttemptId](const http::Response &Received) {
-        return http::findHeader(Received.Headers, Settings.Headers.AttemptId)
+        return http::findSingularHeader(Received.Headers,
+                                        Settings.Headers.AttemptId)
                    .value_or("") == Attempt;
       };
   Options.OnHeaders = [this, Id](const http::Response &Received) {
@@ -370,7 +373,7 @@
   // the current state of the server.
   if (!Server.isCurrent(Call.Server) ||
       Received.Status == kMisdirectedRequest ||
-      http::findHeader(Received.Headers, Settings.Headers.AttemptId) !=
+      http::findSingularHeader(Received.Headers, Settings.Headers.AttemptId) !=
           Call.AttemptId)
     return;
   const ServerStatement Stated =
@@ -426,13 +429,15 @@
                   "the connection broke before a whole response");
   const http::Response &Received = Exchange.Response;
   const HeaderNames &Names = Settings.Headers;
-  const auto Echo = http::findHeader(Received.Headers, Names.AttemptId);
+  const auto Echo = http::findSingularHeader(Received.Headers, Names.AttemptId);
   const bool NotExecuted =
       Received.Status == kMisdirectedRequest ||
       http::findHeader(Received.Headers, Names.NotExecuted).has_value();
   // A response without an id may be a late copy of an earlier one, unless
   // nothing was sent on its connection before.
-  const bool IsFirstRefusal = !Echo && NotExecuted && Exchange.NewConnection;
+  const bool IsFirstRefusal =
+      !http::findHeader(Received.Headers, Names.AttemptId) && NotExecuted &&
+      Exchange.NewConnection;
   if (Echo.value_or("") != Call.AttemptId && !IsFirstRefusal)
     return Failed(ErrorKind::OutcomeUnknown, Outcome::Unknown,
                   "the response does not echo the attempt id of the request");
@@ -446,7 +451,7 @@
     return Result;
   }
   if (isSuccess(Received.Status) &&
-      (!http::findHeader(Received.Headers, Names.Signature) ||
+      (!http::findSingularHeader(Received.Headers, Names.Signature) ||
        http::findHeader(Received.Headers, "content-encoding")))
     return Failed(
         ErrorKind::OutcomeUnknown, Outcome::Unknown,
