Take only requests that end in time while a daemon stops

Cause: all requests were taken for 3.5 s, whatever time they may need. Ruled out: the margin before the end of the grace time alone; the request's server finished at 5.5 s, and a longer one would have been broken off too.

--- a/src/relay/daemon.h
+++ b/src/relay/daemon.h
@@ -88,9 +88,9 @@
   /// still served.
   void drain();
 
-  /// Refuses further requests of callers as not run, except inner calls of the
-  /// local backend server.
-  void refuseNewRequests();
+  /// Refuses requests that arrive after `From`, also those of the local backend
+  /// server, as not run if their deadline is later than `LastDeadline`.
+  void refuseLongRequests(base::BootTime From, base::BootTime LastDeadline);
 
   /// Responds to callers' open requests with an error, since the process is
   /// about to exit, and refuses further ones.
--- a/src/relay/entryhandler.h
+++ b/src/relay/entryhandler.h
@@ -50,8 +50,11 @@
   /// Makes responses close their connections from now on.
   void startDraining() { Draining = true; }
 
-  /// Refuses further requests as not run, except inner calls.
-  void refuseNewRequests() { RefusingNew = true; }
+  /// Refuses requests that arrive after `From` as not run if their deadline is
+  /// later than `LastDeadline`, when this daemon fails the open requests.
+  void refuseLongRequests(base::BootTime From, base::BootTime LastDeadline) {
+    Stop = StopTimes{From, LastDeadline};
+  }
 
   /// Responds to all open requests with an error, as not run, or as of unknown
   /// outcome if a call may still run; refuses further requests.
@@ -106,6 +109,12 @@
     std::optional<base::ErrorKind> LastError;
   };
 
+  /// See `refuseLongRequests`.
+  struct StopTimes {
+    base::BootTime RefuseFrom;
+    base::BootTime LastDeadline;
+  };
+
   /// Result of `identifyCaller`: a refusal, or the workspace.
   struct CallerIdentity {
     std::optional<base::ErrorKind> Refusal;
@@ -167,7 +176,7 @@
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
   bool Draining = false;
-  bool RefusingNew = false;
+  std::optional<StopTimes> Stop;
   bool Stopping = false;
 };
 
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -346,9 +346,10 @@
   Impl->Discovery->announceDraining();
 }
 
-void Daemon::refuseNewRequests() {
+void Daemon::refuseLongRequests(base::BootTime From,
+                                base::BootTime LastDeadline) {
   if (Impl->Entry)
-    Impl->Entry->refuseNewRequests();
+    Impl->Entry->refuseLongRequests(From, LastDeadline);
 }
 
 void Daemon::failOpenRequests() {
--- a/src/relay/internal/entryhandler.cpp
+++ b/src/relay/internal/entryhandler.cpp
@@ -110,7 +110,8 @@
   const CallerIdentity Caller = identifyCaller(Request);
   if (Caller.Refusal)
     return respondWithError(Request, *Caller.Refusal);
-  if (RefusingNew && !Request.Message.Inner)
+  if (Stop && Request.ArrivedAt > Stop->RefuseFrom &&
+      Request.Deadline > Stop->LastDeadline)
     return respondWithError(Request, base::ErrorKind::Draining);
   execution::CallContext &Context = Request.Message.Context;
   Context.Service = chooseService(*Request.Route);
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -1,3 +1,4 @@
+#include "http/client.h"
 #include "relay/tests/scriptedbackend.h"
 #include "relay/tests/testfleet.h"
 
@@ -471,8 +472,9 @@
   Test.Fleet.send(0, callerRequest("POST", "/once/x"),
                   [&](const http::ExchangeResult &Result) { Open = Result; });
   Test.Fleet.waitFor([&] { return Test.requestCount() == 1; });
+  const base::BootTime Now = Test.Fleet.loop().clock().now();
   Test.Fleet.daemon(0).drain();
-  Test.Fleet.daemon(0).refuseNewRequests();
+  Test.Fleet.daemon(0).refuseLongRequests(Now, Now + 500ms);
   const auto Late =
       Test.Fleet.sendAndWait(0, callerRequest("POST", "/once/x", "late"));
   CHECK(Late.Response.Status == 503);
@@ -482,6 +484,47 @@
   Test.Fleet.waitFor([&] { return Open.has_value(); });
   CHECK(Open->Response.Status == 200);
   CHECK(Test.requestCount() == 1);
+  // A request that ends before the daemon does is served.
+  http::Request Short = callerRequest("POST", "/once/x", "short");
+  for (http::Header &Each : Short.Headers)
+    if (Each.Name == "Time-Left-Ms")
+      Each.Value = "300";
+  CHECK(Test.Fleet.sendAndWait(0, Short).Response.Status == 200);
+}
+
+// Guards against a call that a stopping daemon takes from its own server, or
+// from a caller that is taken for it, although it may have to break it off.
+TEST_CASE("a daemon near its exit refuses requests without a key too") {
+  std::atomic<int> InnerStatus = 0;
+  std::string OwnDaemon;
+  ScriptedBackend Back(&succeed);
+  ScriptedBackend Front([&](const std::string &Request) {
+    http::Request Inner;
+    Inner.Method = "GET";
+    Inner.Path = "/open/x";
+    Inner.Headers = {{"Host", "a.example"},
+                     {"Attempt", "inner"},
+                     {"Time-Left-Ms", headerIn(Request, "Time-Left-Ms")}};
+    http::Client Client;
+    InnerStatus = Client.exchange(OwnDaemon, Inner, {}).Response.Status;
+    return succeed(Request);
+  });
+  TestFleet Fleet;
+  Fleet.addDaemon("front", Front.url());
+  Fleet.addDaemon("back", Back.url());
+  OwnDaemon = Fleet.callerUrl(0);
+  auto Policy = simplePolicy("back");
+  config::HostRoute Outer = Policy.Routes.front();
+  Outer.Name = Outer.Prefix = "/front/";
+  Outer.Targets = {{base::ServiceName("front"), 1}};
+  Policy.Routes.push_back(Outer);
+  Fleet.publish(Policy);
+  Fleet.waitUntilConnected();
+  const base::BootTime Now = Fleet.loop().clock().now();
+  Fleet.daemon(0).refuseLongRequests(Now, Now + 300ms);
+  Fleet.sendAndWait(1, callerRequest("GET", "/front/x"));
+  CHECK(InnerStatus == 503);
+  CHECK(Back.requests().empty());
 }
 
 // Guards against a process that exits at the end of its grace period and drops
