Count a response as sent when the caller's machine has it

'a connection is busy until its caller has taken the whole response' failed before: 0 busy connections in place of 1.

--- a/src/http/asyncserver.h
+++ b/src/http/asyncserver.h
@@ -78,7 +78,7 @@
   std::size_t pendingExchanges() const;
 
   /// Number of connections on which a request is being received or handled, or
-  /// a response has not been sent completely.
+  /// the caller's machine has not acknowledged all bytes of the responses.
   std::size_t busyConnections() const;
 
 private:
--- a/src/http/internal/callersocket.cpp
+++ b/src/http/internal/callersocket.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -230,6 +232,11 @@
   return true;
 }
 
+bool CallerSocket::hasUnacknowledgedBytes() const {
+  int Bytes = 0;
+  return ioctl(Descriptor, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 std::vector<ExchangeId> CallerSocket::pendingExchangeIds() const {
   std::vector<ExchangeId> Result;
   for (const Exchange &Each : Exchanges)
--- a/src/http/internal/callersocket.h
+++ b/src/http/internal/callersocket.h
@@ -59,11 +59,13 @@
   bool wantsRead() const;
   bool wantsWrite() const { return WriteOffset < WriteBuffer.size(); }
 
-  /// Whether a request is being received or handled, or response bytes are not
-  /// sent yet.
+  /// Whether a request is being received or handled, or the caller's machine
+  /// has not acknowledged all bytes of the responses.
   bool busy() const {
     return !Exchanges.empty() || wantsWrite() ||
-           (!WriteClosed && (RequestParser != nullptr || !ReadBuffer.empty()));
+           (!WriteClosed &&
+            (RequestParser != nullptr || !ReadBuffer.empty())) ||
+           hasUnacknowledgedBytes();
   }
 
   /// Whether the caller has not closed its side in time after the last
@@ -83,6 +85,10 @@
 
   bool parseOne(const CallerLimits &Limits, std::uint64_t &NextId,
                 std::vector<std::pair<ExchangeId, Request>> &Parsed);
+  /// Whether the system still holds response bytes. They would be lost if the
+  /// connection were reset, for example by a request that arrives after the
+  /// process has exited.
+  bool hasUnacknowledgedBytes() const;
   void queueError(std::uint16_t Status);
   void serialize(const Exchange &Completed, bool Close);
   void queueResponses();
--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -46,8 +46,12 @@
   int Disconnects = 0;
 };
 
-int dial(std::uint16_t Port) {
+/// Connects to a port. `ReceiveBytes` limits the receive buffer unless it is 0.
+int dial(std::uint16_t Port, int ReceiveBytes = 0) {
   const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  if (ReceiveBytes > 0)
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+               sizeof(ReceiveBytes));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Port);
@@ -324,3 +328,38 @@
   CHECK(Result.Response.Status == 502);
   CHECK(Result.Response.Body.empty());
 }
+
+// Guards against a process that exits while the system still holds a response,
+// which a further request of the caller would discard.
+TEST_CASE(
+    "a connection is busy until its caller has taken the whole response") {
+  class Large final : public http::AsyncHandler {
+  public:
+    void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
+                   http::Request) override {
+      Server.respond(Id, {200, {}, std::string(36'000, 'x')});
+    }
+    void onCallerDisconnected(http::ExchangeId) override {}
+  };
+  eventloop::EventLoop Loop(kClock);
+  Large Handler;
+  const auto Server = http::AsyncServer::start({}, Loop, Handler).value();
+  const int Socket = dial(Server->port(), 4096);
+  sendText(Socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  Loop.startTimer(200ms, [&] { Loop.stop(); });
+  Loop.run();
+  CHECK(Server->busyConnections() == 1);
+  std::size_t Total = 0;
+  char Buffer[4096];
+  while (Total < 36'000) {
+    const ssize_t Count = read(Socket, Buffer, sizeof(Buffer));
+    REQUIRE(Count > 0);
+    Total += static_cast<std::size_t>(Count);
+    Loop.startTimer(1ms, [&] { Loop.stop(); });
+    Loop.run();
+  }
+  Loop.startTimer(200ms, [&] { Loop.stop(); });
+  Loop.run();
+  CHECK(Server->busyConnections() == 0);
+  close(Socket);
+}
