Let another daemon read the configuration when the reader is silent

Cause: the daemon that reads the stream for its data centre was chosen by its state in gossip; cut off from the store alone, it kept the role, and the others polled every 4 s.

Change: the reader tells its data centre after each read; a daemon that hears of none for 0.8 to 1.2 s takes over until a preferred one is heard again.

--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -38,9 +38,11 @@
   SyncRequest,
   /// Carries records of members in buckets that differ.
   SyncReply,
+  /// The sender has just read the log to its end, which is `AppliedOffset`.
+  LogConfirmation,
 };
 
-inline constexpr std::uint8_t kDatagramKindCount = 8;
+inline constexpr std::uint8_t kDatagramKindCount = 9;
 
 /// One message between the gossip protocols of two daemons.
 struct Datagram {
--- a/src/membership/gossipprotocol.h
+++ b/src/membership/gossipprotocol.h
@@ -90,6 +90,10 @@
   [[nodiscard]] std::vector<OutgoingDatagram>
   setAppliedOffset(base::LogOffset Offset);
 
+  /// Tells the usable members of this daemon's data centre that it has just
+  /// read the log to its end.
+  [[nodiscard]] std::vector<OutgoingDatagram> confirmOffset();
+
   /// Merges a member record that was announced in the log. An unknown member is
   /// contacted and added when it replies, because the log also holds members
   /// that died without announcing it.
@@ -110,6 +114,10 @@
   /// The members of a data centre that read the platform log.
   std::vector<Member> logReaders(const base::DataCentreId &DataCentre) const;
 
+  /// Position of an instance in the order in which the usable members of its
+  /// data centre read the log; their number if it isn't usable.
+  std::size_t logReaderRank(const base::InstanceId &Instance) const;
+
   /// The usable member with the highest applied offset. Returns no value if
   /// none is above this daemon's own.
   std::optional<LogSource> newestLogSource() const;
--- a/src/membership/internal/gossipprotocol.cpp
+++ b/src/membership/internal/gossipprotocol.cpp
@@ -84,6 +84,17 @@
   return Impl->takeOutbox();
 }
 
+std::vector<OutgoingDatagram> GossipProtocol::confirmOffset() {
+  GossipCore &Core = Impl->Core;
+  const Datagram Message = Core.makeDatagram(DatagramKind::LogConfirmation, 0);
+  for (const MemberEntry &Each : Core.Table.entries())
+    if (Each.Record.DataCentre == Core.self().DataCentre &&
+        Each.Record.Instance != Core.self().Instance &&
+        isUsable(Each.Record.process()))
+      Core.sendWithoutUpdates(Message, Each.Record.Peer);
+  return Impl->takeOutbox();
+}
+
 void GossipProtocol::mergeAnnouncement(const Member &Announced) {
   if (Announced.Instance == self().Instance)
     Impl->refute(claimOf(Announced));
@@ -111,6 +122,11 @@
   return members().logReaders(DataCentre);
 }
 
+std::size_t
+GossipProtocol::logReaderRank(const base::InstanceId &Instance) const {
+  return members().logReaderRank(Instance);
+}
+
 std::optional<LogSource> GossipProtocol::newestLogSource() const {
   std::optional<LogSource> Best;
   base::LogOffset Highest = Impl->Core.OwnAppliedOffset;
--- a/src/membership/internal/gossipstate.cpp
+++ b/src/membership/internal/gossipstate.cpp
@@ -219,6 +219,7 @@
     break;
   case DatagramKind::Push:
   case DatagramKind::SyncReply:
+  case DatagramKind::LogConfirmation:
     break;
   }
   if (!Message.WantRecord)
--- a/src/membership/internal/membertable.cpp
+++ b/src/membership/internal/membertable.cpp
@@ -297,6 +297,25 @@
   return Result;
 }
 
+std::size_t MemberTable::logReaderRank(const base::InstanceId &Instance) const {
+  const MemberEntry *Ranked = find(Instance);
+  if (Ranked == nullptr)
+    return 0;
+  const base::DataCentreId &DataCentre = Ranked->Record.DataCentre;
+  const std::uint64_t DataCentreHash = base::stableHash(DataCentre.str());
+  const auto Order = [&](const MemberEntry &Entry) {
+    return std::pair(base::combineHashes(DataCentreHash, Entry.NameHash),
+                     &Entry);
+  };
+  const bool IsUsable = isUsable(Ranked->Record.process());
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const auto &Each) {
+        return Each.Record.DataCentre == DataCentre &&
+               isUsable(Each.Record.process()) &&
+               (!IsUsable || Order(Each) < Order(*Ranked));
+      }));
+}
+
 std::vector<base::InstanceId> MemberTable::takeChanges() {
   std::vector<base::InstanceId> Result(Changes.begin(), Changes.end());
   Changes.clear();
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -121,6 +121,10 @@
   /// which read the platform log; fewer if fewer are usable.
   std::vector<Member> logReaders(const base::DataCentreId &DataCentre) const;
 
+  /// Position of `Instance` in the order by which `logReaders` selects, over
+  /// all usable members of its data centre; their number if it isn't usable.
+  std::size_t logReaderRank(const base::InstanceId &Instance) const;
+
   /// Instances whose entry changed, appeared or disappeared since the last
   /// call, each once.
   std::vector<base::InstanceId> takeChanges();
--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -49,16 +49,23 @@
   });
 }
 
-void StreamFollower::readNext() {
+void StreamFollower::readNext() { read(Settings.Timing.MaxWait); }
+
+void StreamFollower::readNow() {
+  if (Synced)
+    read(base::Duration::zero());
+}
+
+void StreamFollower::read(base::Duration Wait) {
   ScheduledAfter = 0;
-  Store.read(Settings.Stream, Position, Settings.Timing.MaxWait,
+  Store.read(Settings.Stream, Position, Wait,
              [this, ReadId = ++LatestRead](const StoreResult &Result) {
                onRead(ReadId, Result);
              });
 }
 
 void StreamFollower::scheduleNextRead() {
-  if (Settings.Timing.Interval <= base::Duration::zero())
+  if (Behind || Settings.Timing.Interval <= base::Duration::zero())
     return readNext();
   ScheduledAfter = LatestRead;
   Loop.startTimer(Settings.Timing.Interval, [this, ReadId = LatestRead] {
@@ -119,7 +126,9 @@
     Listener.onRecord(Each);
     Position = std::max(Position, Each.Offset);
   }
-  Listener.onCaughtUp(Position);
+  Behind = Position > Previous && Position < Page.End;
+  if (!Behind)
+    Listener.onCaughtUp(Position);
 }
 
 void StreamFollower::retry(const StoreResult &Result, bool Newest) {
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -59,6 +59,10 @@
   /// last read that it started.
   void catchUpTo(base::LogOffset Offset);
 
+  /// Reads at once without waiting for records, on a separate connection. Does
+  /// nothing before the first read has completed.
+  void readNow();
+
   /// Changes the timing from the next read on. If the new interval is zero, a
   /// scheduled read starts at once.
   void setPollTiming(const PollTiming &NewTiming);
@@ -69,6 +73,7 @@
 private:
   void readNewest();
   void readNext();
+  void read(base::Duration Wait);
   void scheduleNextRead();
   void onNewest(std::uint64_t ReadId, const StoreResult &Result);
   void onRead(std::uint64_t ReadId, const StoreResult &Result);
@@ -90,6 +95,8 @@
   std::uint64_t ScheduledAfter = 0;
   /// Earliest time of the next read that `catchUpTo` may start.
   base::BootTime ExtraReadAllowedAt;
+  /// The last page ended before the stream did.
+  bool Behind = false;
   bool Reachable = false;
   bool ReachabilityReported = false;
   /// Whether the newest record of each key has been read once.
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -26,11 +26,11 @@
 /// Fine enough for fences, queue times and gossip; each tick costs a wake-up.
 constexpr base::Duration kTickInterval = 20ms;
 /// One daemon in each data centre, the log reader, long-polls the policy
-/// stream. Each wait is short, so that a connection that fails silently delays
-/// an update by little. The other daemons learn of updates by gossip and read
-/// then; their own polls cover a failure of gossip.
-constexpr platformlog::PollTiming kLogReaderPollTiming{1200ms, 0s};
-constexpr platformlog::PollTiming kDefaultPollTiming{0s, 4s};
+/// stream; see `LogReaderRole`. Each wait is short, because the others take a
+/// reader that reports no read for longer as failed. They read when they learn
+/// of an update from it or by gossip.
+constexpr platformlog::PollTiming kLogReaderPollTiming{400ms, 0s};
+constexpr platformlog::PollTiming kDefaultPollTiming{0s, 8s};
 /// Delay before the transport is started again, for example because the port
 /// was in use.
 constexpr base::Duration kRestartDelay = 500ms;
@@ -85,7 +85,7 @@
   // platformlog::StreamListener
   void onRecord(const platformlog::KeyedRecord &Record) override;
   void onCaughtUp(base::LogOffset End) override {
-    Discovery->setPolicyOffset(End);
+    Discovery->onPolicyRead(End);
   }
   void onReachabilityChanged(bool Reachable,
                              const std::string &Detail) override {
@@ -192,6 +192,8 @@
   Executor->tick();
   Discovery->tick();
   PolicyFollower.catchUpTo(Discovery->highestPolicyOffset());
+  if (Discovery->takeOverReading())
+    PolicyFollower.readNow();
   PolicyFollower.setPollTiming(Discovery->isLogReader() ? kLogReaderPollTiming
                                                         : kDefaultPollTiming);
   const std::size_t Daemons = Discovery->daemonCount();
--- a/src/relay/internal/peerdiscovery.cpp
+++ b/src/relay/internal/peerdiscovery.cpp
@@ -38,6 +38,7 @@
                              ChangeListener OnChange)
     : Loop(Loop), Log(Log), Peers(Peers), Store(Store),
       OnChange(std::move(OnChange)), Gossip(Settings, Loop.clock().now()),
+      ReaderRole(Loop.clock()),
       Follower({kFleetStream, {0s, kStartupPollInterval}}, Loop, Store, *this),
       AnnounceBackoff(kInitialAnnounceBackoff) {}
 
@@ -81,6 +82,16 @@
   if (!Message)
     return;
   send(Gossip.receive(*Message, From, Loop.clock().now()));
+  if (Message->Kind == membership::DatagramKind::LogConfirmation) {
+    const bool WasReader = ReaderRole.isReader();
+    const auto Rank = [this](const base::InstanceId &Instance) {
+      return Gossip.logReaderRank(Instance);
+    };
+    ReaderRole.onPeerRead(Rank(Message->Sender.Process.Instance) <
+                          Rank(Gossip.self().Instance));
+    if (WasReader && !ReaderRole.isReader())
+      logReaderRole("a preferred daemon reads");
+  }
   // Changes are applied at once, so that the next request already avoids a
   // daemon that drains.
   notifyChanges();
@@ -102,6 +113,10 @@
   const std::vector<base::InstanceId> Changed = Gossip.takeChanges();
   if (Changed.empty())
     return;
+  const bool WasReader = ReaderRole.isReader();
+  ReaderRole.setRank(Gossip.logReaderRank(Gossip.self().Instance));
+  if (WasReader != ReaderRole.isReader())
+    logReaderRole("members changed");
   for (const base::InstanceId &Instance : Changed) {
     const membership::MemberEntry *Entry = Gossip.members().find(Instance);
     if (Entry == nullptr)
@@ -116,13 +131,30 @@
   OnChange(Gossip.members(), Changed);
 }
 
-void PeerDiscovery::setPolicyOffset(base::LogOffset Offset) {
-  send(Gossip.setAppliedOffset(Offset));
+void PeerDiscovery::onPolicyRead(base::LogOffset End) {
+  ReaderRole.onOwnRead();
+  send(Gossip.setAppliedOffset(End));
+  if (ReaderRole.isReader())
+    send(Gossip.confirmOffset());
+}
+
+bool PeerDiscovery::takeOverReading() {
+  const bool TookOver = ReaderRole.takeOverIfDue();
+  if (TookOver)
+    logReaderRole("no read was confirmed in time");
+  return TookOver;
 }
 
-bool PeerDiscovery::isLogReader() const {
-  const auto Readers = Gossip.logReaders(Gossip.self().DataCentre);
-  return Readers.empty() || Readers.front().Instance == Gossip.self().Instance;
+void PeerDiscovery::logReaderRole(const char *Reason) const {
+  Log.state(
+      "log_reader_changed",
+      {{"reader", ReaderRole.isReader()},
+       {"rank", Gossip.logReaderRank(Gossip.self().Instance)},
+       {"last_read_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            ReaderRole.timeSinceRead())
+                            .count()},
+       {"offset", Gossip.members().highestOffset().value()},
+       {"why", Reason}});
 }
 
 std::size_t PeerDiscovery::daemonCount() const {
--- a/src/relay/peerdiscovery.h
+++ b/src/relay/peerdiscovery.h
@@ -5,6 +5,7 @@
 #include "membership/gossipprotocol.h"
 #include "platformlog/keyedstore.h"
 #include "platformlog/streamfollower.h"
+#include "relay/logreaderrole.h"
 #include "relay/structuredlog.h"
 #include "transport/peertransport.h"
 
@@ -52,17 +53,21 @@
   /// from it again.
   void reportSilent(const base::ProcessId &Process);
 
-  /// Gossips how far this daemon has read the policy stream.
-  void setPolicyOffset(base::LogOffset Offset);
+  /// Gossips how far this daemon has read the policy stream, and that this was
+  /// just now its end.
+  void onPolicyRead(base::LogOffset End);
 
   /// Highest offset of the policy stream that any member has read.
   base::LogOffset highestPolicyOffset() const {
     return Gossip.members().highestOffset();
   }
 
-  /// Whether this daemon is the log reader of its data centre, which long-polls
-  /// the policy stream.
-  bool isLogReader() const;
+  /// Whether this daemon reads the policy stream for its data centre.
+  bool isLogReader() const { return ReaderRole.isReader(); }
+
+  /// Takes the role of the log reader over if it is time to. Returns true if
+  /// this call did; the policy stream must be read at once then.
+  bool takeOverReading();
 
   const membership::GossipProtocol &gossip() const { return Gossip; }
 
@@ -81,6 +86,7 @@
   void announce();
   void send(const std::vector<membership::OutgoingDatagram> &Datagrams);
   void notifyChanges();
+  void logReaderRole(const char *Reason) const;
 
   eventloop::EventLoop &Loop;
   StructuredLog &Log;
@@ -88,6 +94,7 @@
   platformlog::KeyedStore &Store;
   ChangeListener OnChange;
   membership::GossipProtocol Gossip;
+  LogReaderRole ReaderRole;
   platformlog::StreamFollower Follower;
   std::set<std::string> AnnouncedKeys;
   base::Duration AnnounceBackoff;
--- /dev/null
+++ b/src/relay/tests/policyupdatetest.cpp
@@ -0,0 +1,99 @@
+#include "relay/tests/scriptedbackend.h"
+#include "relay/tests/testfleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Within the platform's bound of 2.5 s, with room for a slow store.
+constexpr base::Duration kAdoptionLimit = 1500ms;
+
+/// Four daemons of one data centre.
+struct Fixture {
+  Fixture() {
+    for (int Count = 0; Count < 4; ++Count)
+      Fleet.addDaemon("back", Server.url());
+    Fleet.publish(policy(1));
+    Fleet.waitUntilConnected();
+    Fleet.runFor(1s);
+  }
+
+  /// A policy with a route that only its version has.
+  static config::FleetPolicyContent policy(std::uint64_t Version) {
+    config::FleetPolicyContent Result = simplePolicy("back", Version);
+    for (config::HostRoute &Each : Result.Routes)
+      Each.OpenToAll = true;
+    Result.Routes.front().Prefix = pathOf(Version);
+    return Result;
+  }
+
+  static std::string pathOf(std::uint64_t Version) {
+    return "/version-" + std::to_string(Version) + "/";
+  }
+
+  bool hasAdopted(std::size_t Index, std::uint64_t Version) {
+    return Fleet.sendAndWait(Index, callerRequest("GET", pathOf(Version)))
+               .Response.Status == 200;
+  }
+
+  /// Publishes a policy and returns how long the daemons that aren't cut off
+  /// take to adopt it.
+  base::Duration adoptionTime(std::uint64_t Version,
+                              const std::vector<std::size_t> &Cut) {
+    const eventloop::EventLoop &Loop = Fleet.loop();
+    Fleet.put(policy(Version));
+    const base::BootTime Published = Loop.clock().now();
+    for (std::size_t Index = 0; Index < 4; ++Index)
+      if (std::find(Cut.begin(), Cut.end(), Index) == Cut.end())
+        Fleet.waitFor([&] { return hasAdopted(Index, Version); });
+    return Loop.clock().now() - Published;
+  }
+
+  ScriptedBackend Server{[](const std::string &Request) {
+    return ScriptedBackend::Reaction{successFor(Request)};
+  }};
+  TestFleet Fleet;
+};
+
+} // namespace
+
+// Guards against daemons that stay on an old policy because the one that reads
+// for their data centre is cut off from the store.
+TEST_CASE_FIXTURE(Fixture,
+                  "a new policy is adopted in time whichever daemon is "
+                  "cut off from the store") {
+  std::uint64_t Version = 1;
+  for (std::size_t Cut = 0; Cut < 4; ++Cut) {
+    CAPTURE(Cut);
+    Fleet.cutStore(Cut, true);
+    CHECK(adoptionTime(++Version, {Cut}) < kAdoptionLimit);
+    Fleet.runFor(300ms);
+    CHECK(adoptionTime(++Version, {Cut}) < kAdoptionLimit);
+    Fleet.cutStore(Cut, false);
+    Fleet.runFor(1s);
+    CHECK(adoptionTime(++Version, {}) < kAdoptionLimit);
+  }
+}
+
+// Guards against the same where the store turns most daemons away.
+TEST_CASE_FIXTURE(Fixture, "a new policy is adopted in time by the only daemon "
+                           "that reaches the store") {
+  std::uint64_t Version = 1;
+  for (std::size_t Left = 0; Left < 4; ++Left) {
+    CAPTURE(Left);
+    std::vector<std::size_t> Cut;
+    for (std::size_t Index = 0; Index < 4; ++Index)
+      if (Index != Left)
+        Cut.push_back(Index);
+    for (const std::size_t Each : Cut)
+      Fleet.cutStore(Each, true);
+    CHECK(adoptionTime(++Version, Cut) < kAdoptionLimit);
+    for (const std::size_t Each : Cut)
+      Fleet.cutStore(Each, false);
+    Fleet.runFor(1s);
+  }
+}
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -54,10 +54,17 @@
 }
 
 void MemoryStore::read(const std::string &Stream, base::LogOffset After,
-                       base::Duration, Callback Done) {
-  // Polling after a fixed delay instead of waiting for a record keeps the fake
+                       base::Duration Wait, Callback Done) {
+  readUntil(Stream, After, Loop.clock().now() + Wait, std::move(Done));
+}
+
+void MemoryStore::readUntil(const std::string &Stream, base::LogOffset After,
+                            base::BootTime Until, Callback Done) {
+  // Looking again after a delay instead of waiting for a record keeps the fake
   // store simple.
-  Loop.startTimer(5ms, [this, Stream, After, Done = std::move(Done)] {
+  Loop.startTimer(5ms, [this, Stream, After, Until, Done = std::move(Done)] {
+    if (after(Stream, After).empty() && Loop.clock().now() < Until)
+      return readUntil(Stream, After, Until, Done);
     platformlog::StoreResult Result;
     Result.Status = platformlog::StoreStatus::Done;
     Result.Page.Records = after(Stream, After);
@@ -87,6 +94,44 @@
   Records.push_back({base::LogOffset(Records.size() + 1), Key, Value});
 }
 
+void StorePath::readNewestRecords(const std::string &Stream, Callback Done) {
+  if (Cut)
+    return fail({}, Done);
+  Store.readNewestRecords(Stream, unlessCut(std::move(Done)));
+}
+
+void StorePath::read(const std::string &Stream, base::LogOffset After,
+                     base::Duration Wait, Callback Done) {
+  if (Cut)
+    return fail(Wait, Done);
+  Store.read(Stream, After, Wait, unlessCut(std::move(Done)));
+}
+
+void StorePath::append(const std::string &Stream,
+                       const platformlog::KeyedRecord &Record,
+                       std::optional<base::LogOffset> ExpectedEnd,
+                       Callback Done) {
+  if (Cut)
+    return fail({}, Done);
+  Store.append(Stream, Record, ExpectedEnd, unlessCut(std::move(Done)));
+}
+
+void StorePath::fail(base::Duration Wait, const Callback &Done) {
+  Loop.startTimer(Wait + 400ms, [Done] {
+    platformlog::StoreResult Result;
+    Result.Status = platformlog::StoreStatus::Unavailable;
+    Done(Result);
+  });
+}
+
+platformlog::KeyedStore::Callback StorePath::unlessCut(Callback Done) {
+  return [this, Done = std::move(Done)](platformlog::StoreResult Result) {
+    if (Cut)
+      return fail({}, Done);
+    Done(std::move(Result));
+  };
+}
+
 base::Result<config::FleetPolicyContent>
 PreparedPolicies::parse(const std::string &Text) const {
   const auto Found = Contents.find(Text);
@@ -110,7 +155,7 @@
 std::size_t TestFleet::addDaemon(const std::string &Service,
                                  const std::string &ServerUrl,
                                  std::uint32_t Slots) {
-  auto NewNode = std::make_unique<Node>();
+  auto NewNode = std::make_unique<Node>(Store, Loop);
   NewNode->Name = "instance-" + std::to_string(Nodes.size());
   relay::DaemonSettings &Settings = NewNode->Settings;
   Settings.Instance = base::InstanceId(NewNode->Name);
@@ -132,7 +177,7 @@
 
 void TestFleet::startProcess(Node &Target) {
   Target.Daemon = std::make_unique<relay::Daemon>(
-      Target.Settings, Loop, Metrics, Log, Store, Policies);
+      Target.Settings, Loop, Metrics, Log, Target.Path, Policies);
   Target.Callers =
       http::AsyncServer::start({}, Loop, Target.Daemon->callerHandler())
           .value();
@@ -150,10 +195,14 @@
   waitUntilConnected();
 }
 
-void TestFleet::publish(const config::FleetPolicyContent &Content) {
+void TestFleet::put(const config::FleetPolicyContent &Content) {
   const std::string Text = "policy " + std::to_string(Content.Version.value());
   Policies.Contents[Text] = Content;
   Store.put(kPolicyStream, kPolicyKey, Text);
+}
+
+void TestFleet::publish(const config::FleetPolicyContent &Content) {
+  put(Content);
   waitFor([this] {
     return std::all_of(Nodes.begin(), Nodes.end(),
                        [](const auto &Each) { return Each->Daemon->ready(); });
--- a/src/relay/tests/testfleet.h
+++ b/src/relay/tests/testfleet.h
@@ -31,6 +31,8 @@
            const std::string &Value);
 
 private:
+  void readUntil(const std::string &Stream, base::LogOffset After,
+                 base::BootTime Until, Callback Done);
   std::vector<platformlog::KeyedRecord> after(const std::string &Stream,
                                               base::LogOffset After) const;
 
@@ -38,6 +40,32 @@
   std::map<std::string, std::vector<platformlog::KeyedRecord>> Streams;
 };
 
+/// One daemon's path to the store, which can be cut: calls then end without a
+/// response after a while.
+class StorePath final : public platformlog::KeyedStore {
+public:
+  StorePath(MemoryStore &Store, eventloop::EventLoop &Loop)
+      : Store(Store), Loop(Loop) {}
+
+  void readNewestRecords(const std::string &Stream, Callback Done) override;
+  void read(const std::string &Stream, base::LogOffset After,
+            base::Duration Wait, Callback Done) override;
+  void append(const std::string &Stream, const platformlog::KeyedRecord &Record,
+              std::optional<base::LogOffset> ExpectedEnd,
+              Callback Done) override;
+
+  bool Cut = false;
+
+private:
+  /// Completes a call without a response, now that the path is cut.
+  void fail(base::Duration Wait, const Callback &Done);
+  /// `Done`, unless the path is cut by the time of the response.
+  Callback unlessCut(Callback Done);
+
+  MemoryStore &Store;
+  eventloop::EventLoop &Loop;
+};
+
 /// Looks up policies by their text in a map that the test fills in.
 class PreparedPolicies final : public relay::PolicyParser {
 public:
@@ -63,6 +91,12 @@
   /// its place, to which the backend server reports as ready.
   void restartDaemon(std::size_t Index, std::uint32_t Slots = 8);
 
+  /// Cuts a daemon off from the store, or connects it again.
+  void cutStore(std::size_t Index, bool Cut) { Nodes[Index]->Path.Cut = Cut; }
+
+  /// Publishes a policy without waiting.
+  void put(const config::FleetPolicyContent &Content);
+
   /// Publishes a policy and waits until all daemons are ready.
   void publish(const config::FleetPolicyContent &Content);
 
@@ -96,6 +130,9 @@
 
 private:
   struct Node {
+    Node(MemoryStore &Store, eventloop::EventLoop &Loop) : Path(Store, Loop) {}
+
+    StorePath Path;
     std::unique_ptr<relay::Daemon> Daemon;
     std::unique_ptr<http::AsyncServer> Callers;
     std::string Name;
