Don't let a coordinator grant what its successor has granted

Cause: the coordinator woke with a bucket that had filled while its successor granted permits; it empties the bucket only if it notices the change itself. Change: a process that was paused empties its coordinator's buckets, and a daemon that returns to a coordinator tells it when it replaced the other one.

--- a/src/ratelimit/dividedlimits.h
+++ b/src/ratelimit/dividedlimits.h
@@ -82,6 +82,15 @@
   /// change.
   void setCoordinator(const base::WorkspaceName &Workspace, bool IsCoordinator);
 
+  /// As coordinator: another daemon may have granted permits until `Since` ago,
+  /// so only what has become available since then is left.
+  void onOtherCoordinator(const base::WorkspaceName &Workspace,
+                          const RateAndBurst &Limit, base::Duration Since);
+
+  /// Must be called about every 20 ms. A longer gap means that the process was
+  /// paused, and that other coordinators may have granted permits meanwhile.
+  void tick();
+
 private:
   struct Bucket {
     double Tokens = 0;
@@ -97,6 +106,8 @@
     base::BootTime GrantsFrom;
   };
 
+  /// Empties the coordinator's buckets if the process was paused.
+  void checkForPause();
   /// Rate and burst with the tolerance included. The burst stays that of the
   /// limit; the whole tolerance is added to the rate, from which sustained
   /// demand benefits.
@@ -113,6 +124,7 @@
   const LimitTolerance Tolerance;
   const bool FirstStart;
   const base::BootTime StartedAt;
+  base::BootTime LastTick;
   std::size_t DaemonCount = 1;
   std::unordered_map<base::WorkspaceName, WorkspaceState> Workspaces;
 };
--- a/src/ratelimit/internal/dividedlimits.cpp
+++ b/src/ratelimit/internal/dividedlimits.cpp
@@ -19,13 +19,16 @@
 /// A share with a smaller burst would refuse single requests at random, so such
 /// a limit is not divided at all.
 constexpr double kMinShareBurst = 2;
+/// Longest gap between ticks of a process that runs. After a longer one, the
+/// other daemons may have replaced this one as coordinator.
+constexpr base::Duration kMaxTickGap = std::chrono::milliseconds(400);
 
 } // namespace
 
 DividedLimits::DividedLimits(const base::Clock &Clock, LimitTolerance Tolerance,
                              bool FirstStart)
     : Clock(Clock), Tolerance(Tolerance), FirstStart(FirstStart),
-      StartedAt(Clock.now()) {}
+      StartedAt(Clock.now()), LastTick(StartedAt) {}
 
 void DividedLimits::setDaemonCount(std::size_t Count) {
   DaemonCount = std::max<std::size_t>(Count, 1);
@@ -99,6 +102,7 @@
 std::uint32_t DividedLimits::grant(const base::WorkspaceName &Workspace,
                                    const RateAndBurst &Limit,
                                    std::uint32_t Requested) {
+  checkForPause();
   WorkspaceState &State = Workspaces[Workspace];
   if (!State.IsCoordinator || Clock.now() < State.GrantsFrom)
     return 0;
@@ -121,6 +125,37 @@
       std::min(Part.Burst, State.CoordinatorBucket.Tokens + Count);
 }
 
+void DividedLimits::onOtherCoordinator(const base::WorkspaceName &Workspace,
+                                       const RateAndBurst &Limit,
+                                       base::Duration Since) {
+  WorkspaceState &State = Workspaces[Workspace];
+  if (!State.IsCoordinator)
+    return;
+  const RateAndBurst Part = coordinatorPart(withTolerance(Limit));
+  refill(State.CoordinatorBucket, Part);
+  const double Available =
+      std::chrono::duration<double>(Since).count() * Part.Rate;
+  State.CoordinatorBucket.Tokens =
+      std::min(State.CoordinatorBucket.Tokens, Available);
+}
+
+void DividedLimits::tick() {
+  checkForPause();
+  LastTick = Clock.now();
+}
+
+void DividedLimits::checkForPause() {
+  const base::BootTime Now = Clock.now();
+  if (Now - LastTick <= kMaxTickGap)
+    return;
+  LastTick = Now;
+  for (auto &[Workspace, State] : Workspaces) {
+    State.CoordinatorBucket.Initialized = true;
+    State.CoordinatorBucket.Tokens = 0;
+    State.CoordinatorBucket.RefilledAt = std::max(Now, State.GrantsFrom);
+  }
+}
+
 void DividedLimits::setCoordinator(const base::WorkspaceName &Workspace,
                                    bool IsCoordinator) {
   WorkspaceState &State = Workspaces[Workspace];
--- a/src/ratelimit/tests/dividedlimitstest.cpp
+++ b/src/ratelimit/tests/dividedlimitstest.cpp
@@ -53,11 +53,21 @@
     return Admitted;
   }
 
+  /// Advances the clock; the daemons that run tick meanwhile.
+  void advance(base::Duration Length) {
+    for (base::Duration Left = Length; Left > 0ms; Left -= kTickInterval) {
+      Clock.advance(std::min<base::Duration>(Left, kTickInterval));
+      for (const auto &Each : Daemons)
+        if (Each.get() != Paused)
+          Each->tick();
+    }
+  }
+
   /// Sends `PerStep` requests to random daemons in each of `Steps`
   /// milliseconds.
   void applyLoad(int Steps, const RateAndBurst &Limit, int PerStep = 1) {
     for (int Step = 0; Step < Steps; ++Step) {
-      Clock.advance(1ms);
+      advance(1ms);
       for (int Count = 0; Count < PerStep; ++Count)
         request(Random() % Daemons.size(), Limit);
     }
@@ -75,10 +85,14 @@
     return double(Max);
   }
 
+  static constexpr base::Duration kTickInterval = 20ms;
+
   base::ManualClock Clock;
   std::mt19937 Random{1};
   std::vector<std::unique_ptr<DividedLimits>> Daemons;
   std::size_t Coordinator = 0;
+  /// A daemon whose process doesn't run; may be null.
+  const DividedLimits *Paused = nullptr;
   std::vector<base::BootTime> AdmittedAt;
 };
 
@@ -110,7 +124,7 @@
   Fleet Test(24);
   int Refused = 0;
   for (int Step = 0; Step < 2'000; ++Step) {
-    Test.Clock.advance(25ms);
+    Test.advance(25ms);
     Refused += Test.request(Test.Random() % 4, Limit) ? 0 : 1;
   }
   CHECK(Refused == 0);
@@ -123,7 +137,7 @@
   Fleet Test(24);
   int Refused = 0;
   for (int Step = 0; Step < 500; ++Step) {
-    Test.Clock.advance(200ms);
+    Test.advance(200ms);
     Refused += Test.request(Test.Random() % 24, Limit) ? 0 : 1;
   }
   CHECK(Refused == 0);
@@ -135,7 +149,7 @@
   const RateAndBurst Limit{100, 100};
   Fleet Test(24);
   for (int Step = 0; Step < 15'000; ++Step) {
-    Test.Clock.advance(1ms);
+    Test.advance(1ms);
     const std::size_t DaemonIndex = Test.Random() % 24;
     Test.request(DaemonIndex, Limit, DaemonIndex < 12);
   }
@@ -149,7 +163,7 @@
   Fleet Test(24);
   for (int Round = 0; Round < 5; ++Round) {
     Test.applyLoad(7'000, Limit);
-    Test.Clock.advance(500ms);
+    Test.advance(500ms);
     Test.start(false);
   }
   CHECK(Test.busiestWindow() <= maxAllowed(Limit));
@@ -168,6 +182,56 @@
   CHECK(Test.busiestWindow() <= maxAllowed(Limit));
 }
 
+// Guards against a burst that is granted a second time by a coordinator that
+// was paused, or cut off, while another one took its place.
+TEST_CASE("the limit holds when a coordinator returns that was replaced") {
+  const RateAndBurst Limit{100, 100};
+  Fleet Test(3);
+  Test.advance(3s);
+  DividedLimits &Replaced = *Test.Daemons[0];
+  // The others use daemon 1 without daemon 0 learning of it.
+  SUBCASE("paused") { Test.Paused = &Replaced; }
+  SUBCASE("cut off") {}
+  Test.Daemons[1]->setCoordinator(kWorkspace, true);
+  Test.Coordinator = 1;
+  Test.advance(3s);
+  for (int Step = 0; Step < 800; ++Step) {
+    Test.advance(1ms);
+    Test.request(1 + Test.Random() % 2, Limit);
+  }
+  Test.Daemons[1]->setCoordinator(kWorkspace, false);
+  Test.Coordinator = 0;
+  // A process that was paused may get a permit request before its first tick.
+  if (Test.Paused == nullptr)
+    Replaced.onOtherCoordinator(kWorkspace, Limit, 0ms);
+  for (int Step = 0; Step < 6000; ++Step) {
+    Test.request(Test.Random() % 3, Limit);
+    Test.Paused = nullptr;
+    Test.advance(1ms);
+  }
+  CHECK(Test.busiestWindow() <= maxAllowed(Limit));
+}
+
+// Guards against a notice of an old change that empties a bucket again.
+TEST_CASE("what has become available since another coordinator was replaced "
+          "is granted") {
+  const RateAndBurst Limit{100, 100};
+  Fleet Test(3);
+  Test.advance(3s);
+  DividedLimits &Coordinator = *Test.Daemons[0];
+  const std::uint32_t All = 1000;
+  SUBCASE("long ago") {
+    Coordinator.onOtherCoordinator(kWorkspace, Limit, 3s);
+    CHECK(Coordinator.grant(kWorkspace, Limit, All) >= 70);
+  }
+  SUBCASE("half a second ago") {
+    Coordinator.onOtherCoordinator(kWorkspace, Limit, 500ms);
+    const std::uint32_t Granted = Coordinator.grant(kWorkspace, Limit, All);
+    CHECK(Granted >= 30);
+    CHECK(Granted <= 50);
+  }
+}
+
 TEST_CASE("a workspace without a limit is always admitted") {
   base::ManualClock Clock;
   DividedLimits Daemon(Clock, kTolerance, true);
@@ -184,7 +248,7 @@
   Fleet Test(24);
   std::vector<base::BootTime> Refused;
   for (int Step = 0; Step < 20'000; ++Step) {
-    Test.Clock.advance(1ms);
+    Test.advance(1ms);
     const base::BootTime Now = Test.Clock.now();
     if (Test.request(Test.Random() % 24, Limit) && Step % 2 == 0) {
       Test.AdmittedAt.pop_back();
--- a/src/relay/fleetratelimiter.h
+++ b/src/relay/fleetratelimiter.h
@@ -11,6 +11,7 @@
 #include "transport/peertransport.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +46,17 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Workspace, Count); }
 };
 
+/// Tells a limit coordinator that its sender used another one before, which may
+/// have granted permits until the sender replaced it.
+struct CoordinatorNotice {
+  base::WorkspaceName Workspace;
+  std::uint64_t ReplacedAgoMicros = 0;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Workspace, ReplacedAgoMicros);
+  }
+};
+
 /// Enforces the workspaces' rate limits over the whole fleet. Admits requests
 /// from this daemon's own share, and requests permits from the workspace's
 /// limit coordinator when the share is used up. A rendezvous hash over the
@@ -77,12 +89,22 @@
                        const PermitRequest &Request);
   void onPermitGrant(const PermitGrant &Grant);
   void onPermitReturn(const PermitReturn &Returned);
+  void onCoordinatorNotice(const CoordinatorNotice &Notice);
+
+  /// Must be called about every 20 ms.
+  void tick() { Limits.tick(); }
 
 private:
   struct Member {
     base::ProcessId Process;
     base::Endpoint Peer;
   };
+  /// The limit coordinator of a workspace.
+  struct CoordinatorChoice {
+    Member Coordinator;
+    /// When it replaced another one; empty if it did not, or once it was told.
+    std::optional<base::BootTime> ReplacedOtherAt;
+  };
   /// Requests of one workspace that wait for permits.
   struct PendingRequest {
     std::uint64_t Number = 0;
@@ -103,6 +125,8 @@
   policyOf(const base::WorkspaceName &Workspace) const;
   void requestPermits(const base::WorkspaceName &Workspace,
                       PendingRequest &Pending);
+  /// Tells the coordinator of the one that it has replaced, once.
+  void notifyCoordinator(const base::WorkspaceName &Workspace);
   void onTimeout(const base::WorkspaceName &Workspace);
   void completeRequest(const base::WorkspaceName &Workspace,
                        std::uint32_t Granted, RateLimitResult RefusalResult);
@@ -119,7 +143,7 @@
   std::vector<Member> Candidates;
   /// Number of announced daemons, whether reachable or not.
   std::size_t DaemonCount = 1;
-  std::unordered_map<base::WorkspaceName, Member> Coordinators;
+  std::unordered_map<base::WorkspaceName, CoordinatorChoice> Coordinators;
   std::unordered_map<base::WorkspaceName, PendingRequest> PendingRequests;
   std::unordered_map<std::uint64_t, base::WorkspaceName> WorkspaceByRequest;
   std::uint64_t LastNumber = 0;
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -199,6 +199,7 @@
   const std::size_t Daemons = Discovery->daemonCount();
   Entry->setRetryFloor(Settings.RetryFloor / Daemons);
   Limiter->setDaemonCount(Daemons);
+  Limiter->tick();
 }
 
 void Daemon::Implementation::onRequest(http::AsyncServer &Server,
@@ -248,6 +249,10 @@
     if (const auto Message = base::decode<PermitReturn>(Received.Body))
       return Limiter->onPermitReturn(*Message);
     return CountMalformed();
+  case FrameType::CoordinatorNotice:
+    if (const auto Message = base::decode<CoordinatorNotice>(Received.Body))
+      return Limiter->onCoordinatorNotice(*Message);
+    return CountMalformed();
   case FrameType::ServerNotice:
     if (const auto Message = base::decode<ServerNotice>(Received.Body))
       return Upstreams->onServerNotice(Peer, *Message);
--- a/src/relay/internal/fleetratelimiter.cpp
+++ b/src/relay/internal/fleetratelimiter.cpp
@@ -24,6 +24,8 @@
 constexpr base::Duration kBusyInterval =
     ratelimit::kCoordinatorPermitLifetime / 3;
 
+constexpr base::Duration kMaxNoticeAge = std::chrono::hours(1);
+
 std::uint64_t rendezvousScore(const base::WorkspaceName &Workspace,
                               const base::InstanceId &Instance) {
   return base::combineHashes(base::stableHash(Workspace.str()),
@@ -87,12 +89,16 @@
           return rendezvousScore(Each.Name, First.Process.Instance) <
                  rendezvousScore(Each.Name, Second.Process.Instance);
         });
-    Member &Coordinator = Coordinators[Each.Name];
-    if (Coordinator.Process.Instance != Best->Process.Instance)
-      Log.state("limit_keeper_changed",
-                {{"workspace", Each.Name.str()},
-                 {"from", Coordinator.Process.Instance.str()},
-                 {"to", Best->Process.Instance.str()}});
+    CoordinatorChoice &Choice = Coordinators[Each.Name];
+    Member &Coordinator = Choice.Coordinator;
+    const base::InstanceId &Earlier = Coordinator.Process.Instance;
+    if (Earlier != Best->Process.Instance) {
+      Log.state("limit_keeper_changed", {{"workspace", Each.Name.str()},
+                                         {"from", Earlier.str()},
+                                         {"to", Best->Process.Instance.str()}});
+      if (!Earlier.empty())
+        Choice.ReplacedOtherAt = Loop.clock().now();
+    }
     Coordinator = *Best;
     // Connects in advance, so that opening the connection does not delay the
     // first requests.
@@ -105,7 +111,7 @@
 const FleetRateLimiter::Member *
 FleetRateLimiter::coordinatorOf(const base::WorkspaceName &Workspace) const {
   const auto Found = Coordinators.find(Workspace);
-  return Found == Coordinators.end() ? nullptr : &Found->second;
+  return Found == Coordinators.end() ? nullptr : &Found->second.Coordinator;
 }
 
 const config::WorkspacePolicy *
@@ -142,12 +148,28 @@
       Coordinator != nullptr ? Coordinator->Process : base::ProcessId();
   if (Coordinator == nullptr)
     return;
+  notifyCoordinator(Workspace);
   Peers.send(
       Peers.connectionTo(Coordinator->Peer),
       makeFrame(FrameType::PermitRequest,
                 PermitRequest{Pending.Number, Workspace, Pending.Requested}));
 }
 
+void FleetRateLimiter::notifyCoordinator(const base::WorkspaceName &Workspace) {
+  CoordinatorChoice &Choice = Coordinators.at(Workspace);
+  const auto ReplacedAt = std::exchange(Choice.ReplacedOtherAt, std::nullopt);
+  // This daemon's own buckets know of changes that it has seen itself.
+  if (!ReplacedAt || Choice.Coordinator.Process.Instance == Self)
+    return;
+  const CoordinatorNotice Notice{
+      Workspace, static_cast<std::uint64_t>(
+                     std::chrono::duration_cast<std::chrono::microseconds>(
+                         Loop.clock().now() - *ReplacedAt)
+                         .count())};
+  Peers.send(Peers.connectionTo(Choice.Coordinator.Peer),
+             makeFrame(FrameType::CoordinatorNotice, Notice));
+}
+
 /// Reports an unresponsive coordinator and retries once at its successor, since
 /// gossip takes several seconds to detect a failed daemon.
 void FleetRateLimiter::onTimeout(const base::WorkspaceName &Workspace) {
@@ -194,6 +216,15 @@
     Limits.returnPermits(Known->Name, limitOf(*Known), Returned.Count);
 }
 
+void FleetRateLimiter::onCoordinatorNotice(const CoordinatorNotice &Notice) {
+  // An older change has no effect on a bucket that has been full since then.
+  const std::uint64_t Micros =
+      std::min<std::uint64_t>(Notice.ReplacedAgoMicros, kMaxNoticeAge / 1us);
+  if (const config::WorkspacePolicy *Known = policyOf(Notice.Workspace))
+    Limits.onOtherCoordinator(Known->Name, limitOf(*Known),
+                              std::chrono::microseconds(Micros));
+}
+
 /// Admits as many waiting requests as there are permits; the others get
 /// `RefusalResult`. If the coordinator granted all permits that were requested,
 /// the requests that arrived in the meantime are covered by a new permit
--- a/src/relay/messages.h
+++ b/src/relay/messages.h
@@ -28,6 +28,7 @@
   PermitReturn,
   ServerNotice,
   ServerReminder,
+  CoordinatorNotice,
 };
 
 /// A request that the entry daemon sends to the serving daemon.
--- a/src/relay/tests/fleetratelimitertest.cpp
+++ b/src/relay/tests/fleetratelimitertest.cpp
@@ -117,6 +117,35 @@
   CHECK(*Result == RateLimitResult::Admitted);
 }
 
+// Guards against a coordinator that grants what another one has granted while
+// this daemon used that one.
+TEST_CASE("a limit coordinator is told that it replaces another one, once") {
+  Fixture Test;
+  const auto Notices = [&] {
+    std::vector<relay::CoordinatorNotice> Result;
+    for (const auto &[Port, Frames] : Test.Peers.Sent)
+      for (const transport::Frame &Each : Frames)
+        if (Each.Type == std::uint8_t(relay::FrameType::CoordinatorNotice))
+          Result.push_back(*base::decode<relay::CoordinatorNotice>(Each.Body));
+    return Result;
+  };
+  Test.admit();
+  CHECK(Notices().empty());
+  Test.runFor(260ms);
+  REQUIRE(Notices().size() == 1);
+  CHECK(Notices()[0].Workspace.str() == "w");
+  CHECK(Notices()[0].ReplacedAgoMicros < 100'000);
+  Test.Limiter.onPermitGrant({2, 1});
+  Test.admit();
+  CHECK(Notices().size() == 1);
+  // The first one is heard from again.
+  Test.Members.setSilent(Test.Unresponsive[0], false);
+  Test.Limiter.setMembers(Test.Members);
+  Test.Limiter.onPermitGrant({3, 1});
+  Test.admit();
+  CHECK(Notices().size() == 2);
+}
+
 // Guards against requests that wait for as long as limit coordinators fail.
 TEST_CASE("a request waits for at most two limit coordinators") {
   Fixture Test;
