Refuse a request whose body has an unknown transfer coding

'ambiguous or malformed requests get a 400 response and never reach the handler' failed for both new texts before. A response with status 101 is rejected since the heads of responses are checked; a test says so now.

--- a/src/http/internal/callersocket.cpp
+++ b/src/http/internal/callersocket.cpp
@@ -138,6 +138,13 @@
       WriteBuffer += "HTTP/1.1 100 Continue\r\n\r\n";
     return false;
   }
+  // The parser takes a request whose last transfer coding isn't `chunked` for
+  // one without a body; the body would be parsed as the next request.
+  if (!RequestParser->chunked() &&
+      RequestParser->get().count(beast::field::transfer_encoding) > 0) {
+    queueError(kBadRequest);
+    return false;
+  }
   beast::request<beast::string_body> Input = RequestParser->release();
   RequestParser.reset();
   Request Received;
--- a/src/http/tests/asynctest.cpp
+++ b/src/http/tests/asynctest.cpp
@@ -175,6 +175,12 @@
                            "Content-Length: 4\r\n\r\nabcd",
                            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                           "POST /1 HTTP/1.1\r\nHost: a\r\n"
+                           "Transfer-Encoding: gzip\r\n\r\n"
+                           "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
+                           "POST /1 HTTP/1.1\r\nHost: a\r\n"
+                           "Transfer-Encoding: chunked, identity\r\n\r\n"
+                           "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
                            "nonsense\r\n\r\n"}) {
     CAPTURE(Text);
     eventloop::EventLoop Loop(kClock);
--- a/src/http/tests/strayresponsetest.cpp
+++ b/src/http/tests/strayresponsetest.cpp
@@ -226,6 +226,18 @@
   CHECK(exchange(Server.url()).Status == http::ExchangeStatus::Broken);
 }
 
+// Guards against a switch of protocols, which nobody asked for, that is passed
+// on as a final response.
+TEST_CASE_FIXTURE(Fixture, "a response that switches protocols is rejected") {
+  SpoilingServer Server;
+  Server.Second = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                  "Connection: upgrade\r\nAttempt: own\r\n\r\ndone";
+  Server.CloseAfterSecond = true;
+  Server.start();
+  CHECK(isOwnResponse(exchange(Server.url())));
+  CHECK(exchange(Server.url()).Status == http::ExchangeStatus::Broken);
+}
+
 // Guards against a check that is too strict for servers.
 TEST_CASE_FIXTURE(Fixture, "unusual but valid responses are accepted") {
   std::string Head;
