Keep the full buckets of a fleet's first start

'requests over a workspace's limit are refused with 429' failed after the commit on replaced coordinators: 0 requests of a burst of 10 were served in a fleet that had just started. Daemons that found each other one after the other told the coordinator that it had replaced another one, and it emptied a bucket that nobody had used. A change within the first start of the fleet is ignored now, as it is where a daemon becomes the coordinator itself.

--- a/src/ratelimit/dividedlimits.h
+++ b/src/ratelimit/dividedlimits.h
@@ -106,6 +106,9 @@
     base::BootTime GrantsFrom;
   };
 
+  /// Whether a coordinator that was chosen at this time has no predecessor that
+  /// granted permits, because the fleet was starting for the first time.
+  bool isFirstCoordinator(base::BootTime ChosenAt) const;
   /// Empties the coordinator's buckets if the process was paused.
   void checkForPause();
   /// Rate and burst with the tolerance included. The burst stays that of the
--- a/src/ratelimit/internal/dividedlimits.cpp
+++ b/src/ratelimit/internal/dividedlimits.cpp
@@ -125,11 +125,15 @@
       std::min(Part.Burst, State.CoordinatorBucket.Tokens + Count);
 }
 
+bool DividedLimits::isFirstCoordinator(base::BootTime ChosenAt) const {
+  return FirstStart && ChosenAt - StartedAt < kCoordinatorDelay;
+}
+
 void DividedLimits::onOtherCoordinator(const base::WorkspaceName &Workspace,
                                        const RateAndBurst &Limit,
                                        base::Duration Since) {
   WorkspaceState &State = Workspaces[Workspace];
-  if (!State.IsCoordinator)
+  if (!State.IsCoordinator || isFirstCoordinator(Clock.now() - Since))
     return;
   const RateAndBurst Part = coordinatorPart(withTolerance(Limit));
   refill(State.CoordinatorBucket, Part);
@@ -165,8 +169,7 @@
   if (!IsCoordinator)
     return;
   const base::BootTime Now = Clock.now();
-  // On the first start of a fleet there was no earlier coordinator.
-  const bool NoPredecessor = FirstStart && Now - StartedAt < kCoordinatorDelay;
+  const bool NoPredecessor = isFirstCoordinator(Now);
   State.GrantsFrom = NoPredecessor ? Now : Now + kCoordinatorDelay;
   if (NoPredecessor)
     return;
--- a/src/ratelimit/tests/dividedlimitstest.cpp
+++ b/src/ratelimit/tests/dividedlimitstest.cpp
@@ -220,6 +220,10 @@
   Test.advance(3s);
   DividedLimits &Coordinator = *Test.Daemons[0];
   const std::uint32_t All = 1000;
+  SUBCASE("while the fleet started") {
+    Coordinator.onOtherCoordinator(kWorkspace, Limit, 2900ms);
+    CHECK(Coordinator.grant(kWorkspace, Limit, All) >= 70);
+  }
   SUBCASE("long ago") {
     Coordinator.onOtherCoordinator(kWorkspace, Limit, 3s);
     CHECK(Coordinator.grant(kWorkspace, Limit, All) >= 70);
--- a/src/relay/internal/entryhandler.cpp
+++ b/src/relay/internal/entryhandler.cpp
@@ -329,10 +329,14 @@
   if (Request.DeliveredAttempts == 0)
     return sendAttempt(Request);
   const base::Duration Remaining = Request.Deadline - Loop.clock().now();
-  Request.PauseTimer = Loop.startTimer(
-      std::min<base::Duration>(kFinalAttemptPause,
-                               Remaining / kFinalPauseDivisor),
-      [this, Id = Request.Exchange] { sendAttempt(Requests.at(Id)); });
+  Request.PauseTimer =
+      Loop.startTimer(std::min<base::Duration>(kFinalAttemptPause,
+                                               Remaining / kFinalPauseDivisor),
+                      [this, Id = Request.Exchange] {
+                        const auto Found = Requests.find(Id);
+                        if (Found != Requests.end())
+                          sendAttempt(Found->second);
+                      });
 }
 
 /// How long the next call may wait in a queue.
