Go on at the end of a stream whose last records were removed

After 410 the follower read the newest records and went on behind the last of them.

The test fleet drops the store calls of a process that it ends; the longer waits of reads let one complete in a daemon that was gone (a crash of relay_tests in 'statedlimittest', once, beside load).

--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -97,6 +97,9 @@
     return retry(Result, true);
   Synced = true;
   deliver(Result.Page);
+  // The next read starts at the end of the stream, since the store may not
+  // retain the records after the newest one of a key.
+  Position = std::max(Position, Result.Page.End);
   scheduleNextRead();
 }
 
--- a/src/platformlog/tests/streamfollowertest.cpp
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -22,6 +22,12 @@
   void read(const std::string &, base::LogOffset After, base::Duration Wait,
             Callback Done) override {
     ++Calls;
+    if (After < FirstReadable) {
+      platformlog::StoreResult Gone;
+      Gone.Status = platformlog::StoreStatus::Gone;
+      Loop.post([Gone, Done = std::move(Done)] { Done(Gone); });
+      return;
+    }
     if (HoldReads) {
       HeldReads.emplace_back(After, std::move(Done));
       return;
@@ -36,12 +42,17 @@
               std::optional<base::LogOffset>, Callback) override {}
 
   void addRecord(const std::string &Key) {
-    Records.push_back({base::LogOffset(Records.size() + 1), Key, "value"});
+    Records.push_back({base::LogOffset(++End), Key, "value"});
   }
 
+  /// Appends a record that the store forgets at once, and everything before it
+  /// that isn't the newest of its key.
+  void addForgotten() { FirstReadable = base::LogOffset(++End); }
+
   platformlog::StoreResult recordsAfter(base::LogOffset Offset) const {
     platformlog::StoreResult Result;
     Result.Status = platformlog::StoreStatus::Done;
+    Result.Page.End = base::LogOffset(End);
     for (const platformlog::KeyedRecord &Each : Records)
       if (Each.Offset > Offset)
         Result.Page.Records.push_back(Each);
@@ -49,15 +60,18 @@
   }
 
   int Calls = 0;
+  /// Reads after an earlier offset fail with `Gone`.
+  base::LogOffset FirstReadable;
   bool HoldReads = false;
   std::vector<std::pair<base::LogOffset, Callback>> HeldReads;
 
 private:
   eventloop::EventLoop &Loop;
   std::vector<platformlog::KeyedRecord> Records;
+  std::uint64_t End = 0;
 };
 
-struct Fixture final : platformlog::StreamListener {
+struct Fixture : platformlog::StreamListener {
   void onRecord(const platformlog::KeyedRecord &Record) override {
     ReceivedKeys.push_back(Record.Key);
   }
@@ -131,3 +145,20 @@
     Done(Test.Store.recordsAfter(After));
   CHECK(Test.ReceivedKeys.size() == 1);
 }
+
+// Guards against a follower that asks the store without a pause for records
+// that it no longer retains.
+TEST_CASE_FIXTURE(Fixture, "a follower goes on at the end of a stream whose "
+                           "last records were removed") {
+  Store.addRecord("a");
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Follower.start();
+  runFor(50ms);
+  Store.addForgotten();
+  Store.addForgotten();
+  Follower.readNow();
+  runFor(100ms);
+  CHECK(Store.Calls <= 6);
+  CHECK(Follower.position() == base::LogOffset(3));
+}
--- a/src/relay/entryhandler.h
+++ b/src/relay/entryhandler.h
@@ -53,7 +53,7 @@
   /// Refuses requests that arrive after `From` as not run if their deadline is
   /// later than `LastDeadline`, when this daemon fails the open requests.
   void refuseLongRequests(base::BootTime From, base::BootTime LastDeadline) {
-    Stop = StopTimes{From, LastDeadline};
+    Stop = StopLimits{From, LastDeadline};
   }
 
   /// Responds to all open requests with an error, as not run, or as of unknown
@@ -110,7 +110,7 @@
   };
 
   /// See `refuseLongRequests`.
-  struct StopTimes {
+  struct StopLimits {
     base::BootTime RefuseFrom;
     base::BootTime LastDeadline;
   };
@@ -176,7 +176,7 @@
   std::uint64_t RetryFloor = 1;
   std::mt19937_64 Random;
   bool Draining = false;
-  std::optional<StopTimes> Stop;
+  std::optional<StopLimits> Stop;
   bool Stopping = false;
 };
 
--- a/src/relay/internal/peerdiscovery.cpp
+++ b/src/relay/internal/peerdiscovery.cpp
@@ -82,21 +82,21 @@
   if (!Message)
     return;
   send(Gossip.receive(*Message, From, Loop.clock().now()));
-  if (Message->Kind == membership::DatagramKind::LogConfirmation) {
-    const bool WasReader = ReaderRole.isReader();
-    const auto Rank = [this](const base::InstanceId &Instance) {
-      return Gossip.logReaderRank(Instance);
-    };
-    ReaderRole.onPeerRead(Rank(Message->Sender.Process.Instance) <
-                          Rank(Gossip.self().Instance));
-    if (WasReader && !ReaderRole.isReader())
-      logReaderRole("a preferred daemon reads");
-  }
+  if (Message->Kind == membership::DatagramKind::LogConfirmation)
+    onLogConfirmation(Message->Sender.Process.Instance);
   // Changes are applied at once, so that the next request already avoids a
   // daemon that drains.
   notifyChanges();
 }
 
+void PeerDiscovery::onLogConfirmation(const base::InstanceId &Reader) {
+  const bool WasReader = ReaderRole.isReader();
+  ReaderRole.onPeerRead(Gossip.logReaderRank(Reader) <
+                        Gossip.logReaderRank(Gossip.self().Instance));
+  if (WasReader && !ReaderRole.isReader())
+    logRoleChange("a preferred daemon reads");
+}
+
 void PeerDiscovery::tick() {
   if (Loop.clock().now() - StartedAt >= kStartupPollPeriod)
     Follower.setPollTiming({0s, kPollInterval});
@@ -116,7 +116,7 @@
   const bool WasReader = ReaderRole.isReader();
   ReaderRole.setRank(Gossip.logReaderRank(Gossip.self().Instance));
   if (WasReader != ReaderRole.isReader())
-    logReaderRole("members changed");
+    logRoleChange("members changed");
   for (const base::InstanceId &Instance : Changed) {
     const membership::MemberEntry *Entry = Gossip.members().find(Instance);
     if (Entry == nullptr)
@@ -141,11 +141,11 @@
 bool PeerDiscovery::takeOverReading() {
   const bool TookOver = ReaderRole.takeOverIfDue();
   if (TookOver)
-    logReaderRole("no read was confirmed in time");
+    logRoleChange("no read was confirmed in time");
   return TookOver;
 }
 
-void PeerDiscovery::logReaderRole(const char *Reason) const {
+void PeerDiscovery::logRoleChange(const char *Reason) const {
   Log.state(
       "log_reader_changed",
       {{"reader", ReaderRole.isReader()},
--- a/src/relay/peerdiscovery.h
+++ b/src/relay/peerdiscovery.h
@@ -86,7 +86,9 @@
   void announce();
   void send(const std::vector<membership::OutgoingDatagram> &Datagrams);
   void notifyChanges();
-  void logReaderRole(const char *Reason) const;
+  /// Another daemon of the data centre has read the policy stream.
+  void onLogConfirmation(const base::InstanceId &Reader);
+  void logRoleChange(const char *Reason) const;
 
   eventloop::EventLoop &Loop;
   StructuredLog &Log;
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -97,14 +97,14 @@
 void StorePath::readNewestRecords(const std::string &Stream, Callback Done) {
   if (Cut)
     return fail({}, Done);
-  Store.readNewestRecords(Stream, unlessCut(std::move(Done)));
+  Store.readNewestRecords(Stream, guarded(std::move(Done)));
 }
 
 void StorePath::read(const std::string &Stream, base::LogOffset After,
                      base::Duration Wait, Callback Done) {
   if (Cut)
     return fail(Wait, Done);
-  Store.read(Stream, After, Wait, unlessCut(std::move(Done)));
+  Store.read(Stream, After, Wait, guarded(std::move(Done)));
 }
 
 void StorePath::append(const std::string &Stream,
@@ -113,19 +113,24 @@
                        Callback Done) {
   if (Cut)
     return fail({}, Done);
-  Store.append(Stream, Record, ExpectedEnd, unlessCut(std::move(Done)));
+  Store.append(Stream, Record, ExpectedEnd, guarded(std::move(Done)));
 }
 
 void StorePath::fail(base::Duration Wait, const Callback &Done) {
-  Loop.startTimer(Wait + 400ms, [Done] {
+  Loop.startTimer(Wait + 400ms, [Done, Caller = std::weak_ptr(Process)] {
+    if (Caller.expired())
+      return;
     platformlog::StoreResult Result;
     Result.Status = platformlog::StoreStatus::Unavailable;
     Done(Result);
   });
 }
 
-platformlog::KeyedStore::Callback StorePath::unlessCut(Callback Done) {
-  return [this, Done = std::move(Done)](platformlog::StoreResult Result) {
+platformlog::KeyedStore::Callback StorePath::guarded(Callback Done) {
+  return [this, Done = std::move(Done),
+          Caller = std::weak_ptr(Process)](platformlog::StoreResult Result) {
+    if (Caller.expired())
+      return;
     if (Cut)
       return fail({}, Done);
     Done(std::move(Result));
@@ -189,6 +194,7 @@
   Node &Target = *Nodes[Index];
   Target.Callers.reset();
   Target.Daemon.reset();
+  Target.Path.abandonCalls();
   startProcess(Target);
   report(Index, Target.ReportSequence + 1, false, Slots);
   waitFor([&] { return Target.Daemon->ready(); });
--- a/src/relay/tests/testfleet.h
+++ b/src/relay/tests/testfleet.h
@@ -54,13 +54,20 @@
               std::optional<base::LogOffset> ExpectedEnd,
               Callback Done) override;
 
+  /// Drops the calls in progress, since the process that made them has ended.
+  void abandonCalls() { Process = std::make_shared<bool>(true); }
+
   bool Cut = false;
 
 private:
   /// Completes a call without a response, now that the path is cut.
   void fail(base::Duration Wait, const Callback &Done);
-  /// `Done`, unless the path is cut by the time of the response.
-  Callback unlessCut(Callback Done);
+  /// `Done`, unless the path is cut by the time of the response or the process
+  /// has ended.
+  Callback guarded(Callback Done);
+
+  /// Replaced when the process ends.
+  std::shared_ptr<bool> Process = std::make_shared<bool>(true);
 
   MemoryStore &Store;
   eventloop::EventLoop &Loop;
