--- a/src/http/tests/strayresponsetest.cpp
+++ b/src/http/tests/strayresponsetest.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <iterator>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -226,6 +228,51 @@
   CHECK(exchange(Server.url()).Status == http::ExchangeStatus::Broken);
 }
 
+// Guards against a response that counts as the request's own although a part of
+// it belongs to another one, wherever that part is cut.
+TEST_CASE_FIXTURE(Fixture, "random stray bytes never change what counts as the "
+                           "own response") {
+  constexpr unsigned kSeed = 20261205;
+  constexpr int kRounds = 400;
+  std::mt19937 Random(kSeed);
+  const auto Below = [&](std::size_t Bound) { return Random() % Bound; };
+  // No request with this id was sent on the connection before.
+  std::string Earlier = kResponse;
+  Earlier.replace(Earlier.find("own"), 3, "earlier");
+  const std::string Sources[] = {kRefusal,
+                                 kInterim,
+                                 kChunked,
+                                 Earlier,
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+                                 "\r\n",
+                                 "0\r\n\r\n",
+                                 "nonsense: \x01\xff\r\n"};
+  const auto Stray = [&] {
+    std::string Result;
+    for (std::size_t Parts = 1 + Below(3); Parts > 0; --Parts) {
+      const std::string &Source = Sources[Below(std::size(Sources))];
+      const std::size_t From = Below(3) == 0 ? Below(Source.size()) : 0;
+      Result += Source.substr(From, Below(Source.size() - From) + 1);
+    }
+    return Result;
+  };
+  for (int Round = 0; Round < kRounds; ++Round) {
+    SpoilingServer Server;
+    const std::string Bytes = Stray();
+    CAPTURE(Round);
+    CAPTURE(Bytes);
+    (Below(2) == 0 ? Server.BeforeSecond : Server.BehindFirst) = Bytes;
+    Server.CloseAfterSecond = Below(2) == 0;
+    Server.start();
+    CHECK(isOwnResponse(exchange(Server.url())));
+    const http::ExchangeResult Second = exchange(Server.url());
+    const bool NamesRequest =
+        http::findSingularHeader(Second.Response.Headers, "attempt") == "own";
+    CHECK((Second.Status != http::ExchangeStatus::Completed || !NamesRequest ||
+           isOwnResponse(Second)));
+  }
+}
+
 // Guards against a switch of protocols, which nobody asked for, that is passed
 // on as a final response.
 TEST_CASE_FIXTURE(Fixture, "a response that switches protocols is rejected") {
