Avoid only the connections on which an attempt id was sent

Now any pooled connection serves on which no request with that id was sent; only the one that carried it is closed. The client tells its caller which connection it is about to use.

--- a/src/http/asyncclient.h
+++ b/src/http/asyncclient.h
@@ -15,6 +15,9 @@
 /// Identifies a transfer: one request and its response.
 using TransferId = base::StrongNumber<struct TransferTag>;
 
+/// Identifies a connection of a client; 0 if it can't be told from others.
+using ConnectionNumber = base::StrongNumber<struct ConnectionNumberTag>;
+
 struct TransferOptions {
   base::Duration Timeout = std::chrono::seconds(10);
   base::Duration ConnectTimeout = std::chrono::seconds(1);
@@ -30,9 +33,11 @@
   /// is read, and not called if the transfer fails before that; may be empty.
   /// Must not start or cancel transfers.
   std::function<void(const Response &Message)> OnHeaders;
-  /// Opens a new connection, on which no earlier response can arrive. It is
-  /// pooled after the response.
-  bool FreshConnection = false;
+  /// Called with the connection on which the request is about to be sent; may
+  /// be empty. If it returns false for a pooled one, that one is closed and
+  /// another one is used, a new one in the end. Must not start or cancel
+  /// transfers.
+  std::function<bool(ConnectionNumber Connection)> AcceptConnection;
 };
 
 struct AsyncClientSettings {
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -42,15 +42,18 @@
 struct Transfer {
   TransferId Id;
   ConnectionSockets *Sockets = nullptr;
+  std::uint64_t *SpoiledConnections = nullptr;
   CURL *Handle = nullptr;
   curl_slist *Headers = nullptr;
   Request Message;
   std::string RequestTarget;
   ResponseCollector Collector;
   AsyncClient::Callback Done;
+  /// See `TransferOptions`; may be empty.
+  std::function<bool(ConnectionNumber)> AcceptConnection;
   /// libcurl has started to send the request.
   bool SendStarted = false;
-  /// The connection that libcurl has chosen can't be used; nothing was sent.
+  /// The connection that libcurl has chosen isn't used; nothing was sent.
   bool ConnectionRejected = false;
   /// Header and body bytes when the last progress was seen, and the reads since
   /// then.
@@ -94,11 +97,19 @@
   auto &Current = *static_cast<Transfer *>(Context);
   if (Current.SendStarted)
     return CURL_PREREQFUNC_ABORT;
+  const auto Local = static_cast<std::uint16_t>(LocalPort);
+  const auto Remote = static_cast<std::uint16_t>(RemotePort);
   long Connects = 0;
   curl_easy_getinfo(Current.Handle, CURLINFO_NUM_CONNECTS, &Connects);
-  if (Connects == 0 &&
-      !Current.Sockets->isIdle(static_cast<std::uint16_t>(LocalPort),
-                               static_cast<std::uint16_t>(RemotePort))) {
+  const bool IsNew = Connects > 0;
+  if (!IsNew && !Current.Sockets->isIdle(Local, Remote)) {
+    ++*Current.SpoiledConnections;
+    Current.ConnectionRejected = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  if (Current.AcceptConnection &&
+      !Current.AcceptConnection(Current.Sockets->numberOf(Local, Remote)) &&
+      !IsNew) {
     Current.ConnectionRejected = true;
     return CURL_PREREQFUNC_ABORT;
   }
@@ -122,7 +133,7 @@
   eventloop::EventLoop &Loop;
   CURLM *Multi = nullptr;
   ConnectionSockets Sockets;
-  std::uint64_t RejectedConnections = 0;
+  std::uint64_t SpoiledConnections = 0;
   BodyBudget Budget;
   std::uint64_t NextId = 1;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> Transfers;
@@ -145,7 +156,6 @@
       curl_multi_remove_handle(Multi, Finished->Handle);
       if (std::exchange(Finished->ConnectionRejected, false)) {
         // libcurl has closed that connection and chooses another one.
-        ++RejectedConnections;
         curl_multi_add_handle(Multi, Finished->Handle);
         continue;
       }
@@ -236,8 +246,6 @@
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
     curl_easy_setopt(Handle, CURLOPT_OPENSOCKETDATA, &Current);
     Sockets.attach(Handle);
-    if (Options.FreshConnection)
-      curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
   }
 };
 
@@ -270,6 +278,8 @@
   Transfer &Current = *Created;
   Current.Id = TransferId(Impl->NextId++);
   Current.Sockets = &Impl->Sockets;
+  Current.SpoiledConnections = &Impl->SpoiledConnections;
+  Current.AcceptConnection = Options.AcceptConnection;
   Current.Handle = curl_easy_init();
   Current.Message = Message;
   Current.Done = std::move(Done);
@@ -306,7 +316,7 @@
 }
 
 std::uint64_t AsyncClient::rejectedConnections() const {
-  return Impl->RejectedConnections;
+  return Impl->SpoiledConnections;
 }
 
 std::size_t AsyncClient::activeTransfers() const {
--- a/src/http/internal/connectionsockets.cpp
+++ b/src/http/internal/connectionsockets.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <iterator>
 
 namespace http {
 
@@ -41,8 +42,9 @@
 int ConnectionSockets::onClose(void *Self, curl_socket_t Socket) {
   auto &Sockets = *static_cast<ConnectionSockets *>(Self);
   std::erase(Sockets.Opened, Socket);
-  std::erase_if(Sockets.Connected,
-                [Socket](const auto &Each) { return Each.second == Socket; });
+  std::erase_if(Sockets.Connected, [Socket](const auto &Each) {
+    return Each.second.Socket == Socket;
+  });
   return close(Socket);
 }
 
@@ -58,7 +60,7 @@
                     &RemoteLength) != 0)
       return false;
     Connected.emplace(portKey(ntohs(Local.sin_port), ntohs(Remote.sin_port)),
-                      Socket);
+                      Connection{Socket, ConnectionNumber(++LastNumber)});
     return true;
   });
 }
@@ -70,8 +72,18 @@
   // counts, which only costs a new connection.
   const auto [First, Last] =
       Connected.equal_range(portKey(LocalPort, RemotePort));
-  return std::all_of(First, Last,
-                     [](const auto &Each) { return hasNoInput(Each.second); });
+  return std::all_of(First, Last, [](const auto &Each) {
+    return hasNoInput(Each.second.Socket);
+  });
+}
+
+ConnectionNumber ConnectionSockets::numberOf(std::uint16_t LocalPort,
+                                             std::uint16_t RemotePort) {
+  readPorts();
+  const auto [First, Last] =
+      Connected.equal_range(portKey(LocalPort, RemotePort));
+  const bool IsUnique = std::distance(First, Last) == 1;
+  return IsUnique ? First->second.Number : ConnectionNumber();
 }
 
 } // namespace http
--- a/src/http/internal/connectionsockets.h
+++ b/src/http/internal/connectionsockets.h
@@ -1,6 +1,8 @@
 #ifndef JACKDAW_HTTP_INTERNAL_CONNECTIONSOCKETS_H
 #define JACKDAW_HTTP_INTERNAL_CONNECTIONSOCKETS_H
 
+#include "http/asyncclient.h"
+
 #include <curl/curl.h>
 
 #include <cstdint>
@@ -26,15 +28,24 @@
   /// response.
   bool isIdle(std::uint16_t LocalPort, std::uint16_t RemotePort);
 
+  /// The connection between these ports.
+  ConnectionNumber numberOf(std::uint16_t LocalPort, std::uint16_t RemotePort);
+
 private:
+  struct Connection {
+    curl_socket_t Socket = CURL_SOCKET_BAD;
+    ConnectionNumber Number;
+  };
+
   static int onClose(void *Self, curl_socket_t Socket);
   void readPorts();
 
-  /// Sockets by the ports of their connection; see `portKey`.
-  std::unordered_multimap<std::uint32_t, curl_socket_t> Connected;
+  /// Connections by their ports; see `portKey`.
+  std::unordered_multimap<std::uint32_t, Connection> Connected;
   /// Sockets whose ports haven't been read, since they are assigned when the
   /// connection is opened.
   std::vector<curl_socket_t> Opened;
+  std::uint64_t LastNumber = 0;
 };
 
 } // namespace http
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -338,7 +338,11 @@
   Options.Timeout = std::max<base::Duration>(Remaining, 1ms);
   Options.MaxIdleTime = MaxIdleTime;
   Options.MaxResponseBytes = kMaxResponseBytes;
-  Options.FreshConnection = Sent.record(NewCall.AttemptId, Now + Remaining);
+  Options.AcceptConnection =
+      [this, Attempt = NewCall.AttemptId,
+       Deadline = Now + Remaining](http::ConnectionNumber Connection) {
+        return Sent.record(Attempt, Connection, Deadline);
+      };
   Options.AllowReuse =
       [this, Attempt = NewCall.AttemptId](const http::Response &Received) {
         return http::findSingularHeader(Received.Headers,
--- a/src/relay/internal/sentattempts.cpp
+++ b/src/relay/internal/sentattempts.cpp
@@ -5,20 +5,26 @@
 namespace relay {
 
 bool SentAttempts::record(const std::string &AttemptId,
+                          http::ConnectionNumber Connection,
                           base::BootTime Deadline) {
   if (AttemptId.empty())
-    return true;
-  const auto [Entry, Added] = Deadlines.try_emplace(AttemptId, Deadline);
-  if (Added)
     return false;
-  const bool Expired = Entry->second <= Clock.now();
-  Entry->second = std::max(Entry->second, Deadline);
-  return !Expired;
+  Attempt &Sent = Attempts[AttemptId];
+  if (Sent.Deadline <= Clock.now())
+    Sent.Connections.clear();
+  Sent.Deadline = std::max(Sent.Deadline, Deadline);
+  constexpr http::ConnectionNumber Unknown;
+  const bool MayBeSame = std::any_of(
+      Sent.Connections.begin(), Sent.Connections.end(), [&](const auto &Each) {
+        return Each == Connection || Each == Unknown || Connection == Unknown;
+      });
+  Sent.Connections.push_back(Connection);
+  return !MayBeSame;
 }
 
 void SentAttempts::tick() {
-  std::erase_if(Deadlines, [Now = Clock.now()](const auto &Each) {
-    return Each.second <= Now;
+  std::erase_if(Attempts, [Now = Clock.now()](const auto &Each) {
+    return Each.second.Deadline <= Now;
   });
 }
 
