--- a/src/relay/entryhandler.h
+++ b/src/relay/entryhandler.h
@@ -85,8 +85,6 @@
     /// route has a shorter timeout.
     base::BootTime Deadline;
     eventloop::TimerId Timer;
-    /// Runs during the pause before the final attempt.
-    eventloop::TimerId PauseTimer;
     std::optional<base::CallId> Call;
     routing::UpstreamChoice Target;
     std::vector<base::ProcessId> Attempted;
@@ -131,8 +129,6 @@
   const base::ServiceName &chooseService(const config::HostRoute &Route);
   void rewriteHeaders(OpenRequest &Request, const std::string &Key) const;
   void sendAttempt(OpenRequest &Request);
-  /// Sends the final attempt, after a pause if servers have refused the call.
-  void startFinalAttempt(OpenRequest &Request);
   base::Duration maxQueueTime(const OpenRequest &Request,
                               base::BootTime Now) const;
   void onCallCompleted(http::ExchangeId Id, const CallSummary &Summary);
--- a/src/relay/internal/entryhandler.cpp
+++ b/src/relay/internal/entryhandler.cpp
@@ -28,11 +28,6 @@
 /// The final attempt of an inner call may wait for the remaining time divided
 /// by this: a refusal would waste the work done so far.
 constexpr int kFinalQueueTimeDivisor = 2;
-/// Pause before the final attempt of a call that servers themselves have
-/// refused: at once, they would refuse it again. At most the remaining time
-/// divided by `kFinalPauseDivisor`.
-constexpr base::Duration kFinalAttemptPause = 50ms;
-constexpr int kFinalPauseDivisor = 8;
 /// Queue time at an upstream whose rate limit is used up while others may be
 /// able to run the call at once.
 constexpr base::Duration kLimitedQueueTime = 20ms;
@@ -297,13 +292,14 @@
     Target =
         Upstreams.choose(Context.Service, {Request.Deadline, Request.Attempted,
                                            Sent.Body.size()});
-  if (!Target && !Request.FinalAttempt && Request.Message.Inner &&
-      Request.LastError == base::ErrorKind::Overloaded)
-    return startFinalAttempt(Request);
-  // All upstreams are busy: the call queues at one that has refused it before.
-  if (Request.FinalAttempt)
+  if (!Target && Request.Message.Inner &&
+      Request.LastError == base::ErrorKind::Overloaded) {
+    // All upstreams are busy: the call queues at one that has refused it
+    // before.
+    Request.FinalAttempt = true;
     Target = Upstreams.choose(Context.Service,
                               {Request.Deadline, {}, Sent.Body.size()});
+  }
   if (!Target)
     return respondWithError(
         Request, Request.LastError.value_or(base::ErrorKind::NoUpstream));
@@ -324,21 +320,6 @@
                  });
 }
 
-void EntryHandler::startFinalAttempt(OpenRequest &Request) {
-  Request.FinalAttempt = true;
-  if (Request.DeliveredAttempts == 0)
-    return sendAttempt(Request);
-  const base::Duration Remaining = Request.Deadline - Loop.clock().now();
-  Request.PauseTimer =
-      Loop.startTimer(std::min<base::Duration>(kFinalAttemptPause,
-                                               Remaining / kFinalPauseDivisor),
-                      [this, Id = Request.Exchange] {
-                        const auto Found = Requests.find(Id);
-                        if (Found != Requests.end())
-                          sendAttempt(Found->second);
-                      });
-}
-
 /// How long the next call may wait in a queue.
 base::Duration EntryHandler::maxQueueTime(const OpenRequest &Request,
                                           base::BootTime Now) const {
@@ -482,7 +463,6 @@
   Metrics.counter("requests_abandoned_total").add();
   logRequest("request_abandoned", Found->second, base::ErrorKind::Cancelled, 0);
   Loop.cancelTimer(Found->second.Timer);
-  Loop.cancelTimer(Found->second.PauseTimer);
   cancelCall(Found->second);
   Requests.erase(Id);
 }
@@ -541,7 +521,6 @@
 
 void EntryHandler::respond(OpenRequest &Request, http::Response Final) {
   Loop.cancelTimer(Request.Timer);
-  Loop.cancelTimer(Request.PauseTimer);
   Final.CloseConnection = Draining;
   Metrics.histogram("request_seconds")
       .record(Loop.clock().now() - Request.ArrivedAt);
