--- a/src/http/tests/strayresponsetest.cpp
+++ b/src/http/tests/strayresponsetest.cpp
@@ -29,6 +29,10 @@
 /// Time in which bytes on the loopback interface arrive.
 constexpr auto kArrivalTime = 20ms;
 
+/// Seed and number of the random cases.
+constexpr unsigned kSeed = 20261205;
+constexpr int kRounds = 400;
+
 /// A server whose first connection is spoiled: `BehindFirst` follows its first
 /// response in the same write, `WhileIdle` a moment later, and `BeforeSecond`
 /// and `Second` are the bytes for its second request. All other requests get
@@ -232,8 +236,6 @@
 // it belongs to another one, wherever that part is cut.
 TEST_CASE_FIXTURE(Fixture, "random stray bytes never change what counts as the "
                            "own response") {
-  constexpr unsigned kSeed = 20261205;
-  constexpr int kRounds = 400;
   std::mt19937 Random(kSeed);
   const auto Below = [&](std::size_t Bound) { return Random() % Bound; };
   // No request with this id was sent on the connection before.
