--- a/review/common-2/standins.cpp
+++ b/review/common-2/standins.cpp
@@ -17,6 +17,7 @@
 #include <poll.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -475,6 +476,8 @@
   Process = fork();
   if (Process != 0)
     return;
+  // The daemon must not outlive this process, however that ends.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int Log = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
