Reject a body with stray bytes behind its stated length

Cause: libcurl takes as many bytes as the length says and drops the others, and checkBody asked for bytes behind the length only if the body held a head or a part of one. The blocking client never asked.

Both clients now look at what is behind each stated length. What can't begin a response makes the outcome unknown; another response proves the end of the body. If the server paused within the body, its end is held back for 20 ms. A refusal keeps its "not run", since its head is sound.

Checks that changed: three demanded a success for a whole response with stray bytes in the same write, which the daemon can't tell from a truncated one. They demand 502 or Overrun now; added are stray bytes that come later, behind chunks and behind no body, which still succeed.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,10 @@
   /// The client gave up, because the body contains the head of another response
   /// to the same request, or may contain a part of any other response.
   BeganAgain,
+  /// The client gave up, because bytes that belong to no response have arrived
+  /// behind the stated length of the body, so some may also be in the body. The
+  /// status and the headers are those of the response.
+  Overrun,
   /// The client gave up: the response is malformed or too large, or the time
   /// was over.
   GivenUp,
--- a/src/http/internal/asyncclient.cpp
+++ b/src/http/internal/asyncclient.cpp
@@ -23,9 +23,6 @@
 /// The bytes are counted after this many reads without progress, since counting
 /// costs a system call.
 constexpr int kReadsPerCheck = 8;
-/// Time for which a transfer is paused when its body contains the head of
-/// another response, or ends within one, so that bytes behind it can arrive.
-constexpr base::Duration kBytesBehindWait = std::chrono::milliseconds(20);
 
 struct Transfer {
   TransferId Id;
@@ -55,7 +52,8 @@
   /// Runs while the transfer is paused.
   eventloop::TimerId ResumeTimer;
 
-  explicit Transfer(eventloop::EventLoop &Loop) : Loop(Loop) {}
+  explicit Transfer(eventloop::EventLoop &Loop)
+      : Collector(Loop.clock()), Loop(Loop) {}
   Transfer(const Transfer &) = delete;
   ~Transfer() {
     Loop.cancelTimer(ResumeTimer);
@@ -105,7 +103,6 @@
       Current.Sockets->connectionBetween(Local, Remote);
   Current.Connection = Chosen.Number;
   Current.Collector.Socket = Chosen.Socket;
-  Current.Collector.ReceivedBefore = IsNew ? 0 : bytesReceived(Chosen.Socket);
   if (Current.AcceptConnection &&
       !Current.AcceptConnection(Current.Connection) && !IsNew) {
     Current.ConnectionRejected = true;
@@ -176,18 +173,23 @@
       Result.Status = ExchangeStatus::Broken;
   }
 
-  /// Ends a transfer whose server sends bytes without an end that belong to no
-  /// response, and closes its connection.
+  /// Ends a transfer whose response is malformed, or whose server sends bytes
+  /// without an end that belong to no response, and closes its connection.
   void checkProgress(TransferId Id, curl_socket_t Socket) {
     const auto Found = Transfers.find(Id);
-    if (Found == Transfers.end() || !sendsUnusableBytes(*Found->second, Socket))
+    if (Found == Transfers.end())
+      return;
+    const char *Problem = Found->second->Collector.Problem;
+    if (Problem == nullptr && sendsUnusableBytes(*Found->second, Socket))
+      Problem = "bytes that belong to no response";
+    if (Problem == nullptr)
       return;
     const std::unique_ptr<Transfer> Ended = std::move(Found->second);
     Transfers.erase(Found);
     curl_multi_remove_handle(Multi, Ended->Handle);
     ExchangeResult Result;
     Result.Status = ExchangeStatus::Broken;
-    Result.Detail = "bytes that belong to no response";
+    Result.Detail = Problem;
     Result.Connection = Ended->Connection;
     Ended->Done(std::move(Result));
   }
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -9,17 +9,30 @@
 
 namespace {
 
-/// Aborts the transfer once it is cancelled.
+/// An exchange in progress.
+struct Exchange {
+  explicit Exchange(const base::Clock &Clock) : Collector(Clock) {}
+
+  ResponseCollector Collector;
+  /// May be null.
+  const std::atomic<bool> *Cancel = nullptr;
+};
+
+/// Aborts the transfer once it is cancelled or its response is malformed.
 int onProgress(void *Context, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
-  const auto &Cancel = *static_cast<const std::atomic<bool> *>(Context);
-  return Cancel.load() ? 1 : 0;
+  const auto &Current = *static_cast<const Exchange *>(Context);
+  const bool Cancelled = Current.Cancel != nullptr && Current.Cancel->load();
+  return Cancelled || Current.Collector.Problem != nullptr ? 1 : 0;
 }
 
 } // namespace
 
 struct Client::State {
+  base::SystemClock Clock;
   CURL *Handle = curl_easy_init();
   ConnectionSockets Sockets;
+  /// Null between exchanges.
+  Exchange *Current = nullptr;
   /// The connection that libcurl has chosen can't be used; nothing was sent.
   bool ConnectionRejected = false;
 
@@ -34,12 +47,14 @@
   static int onPreRequest(void *Self, char *, char *, int RemotePort,
                           int LocalPort) {
     auto &Impl = *static_cast<State *>(Self);
+    const auto Local = static_cast<std::uint16_t>(LocalPort);
+    const auto Remote = static_cast<std::uint16_t>(RemotePort);
     long Connects = 0;
     curl_easy_getinfo(Impl.Handle, CURLINFO_NUM_CONNECTS, &Connects);
     Impl.ConnectionRejected =
-        Connects == 0 &&
-        !Impl.Sockets.isIdle(static_cast<std::uint16_t>(LocalPort),
-                             static_cast<std::uint16_t>(RemotePort));
+        Connects == 0 && !Impl.Sockets.isIdle(Local, Remote);
+    Impl.Current->Collector.Socket =
+        Impl.Sockets.connectionBetween(Local, Remote).Socket;
     return Impl.ConnectionRejected ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   }
 
@@ -64,10 +79,8 @@
       curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (Options.Cancel == nullptr)
-      return;
     curl_easy_setopt(Handle, CURLOPT_XFERINFOFUNCTION, &onProgress);
-    curl_easy_setopt(Handle, CURLOPT_XFERINFODATA, Options.Cancel);
+    curl_easy_setopt(Handle, CURLOPT_XFERINFODATA, Current);
     curl_easy_setopt(Handle, CURLOPT_NOPROGRESS, 0L);
   }
 
@@ -93,9 +106,12 @@
 ExchangeResult Client::exchange(const std::string &BaseUrl,
                                 const Request &Message,
                                 const ExchangeOptions &Options) {
-  ResponseCollector Collector;
+  Exchange Current(Impl->Clock);
+  ResponseCollector &Collector = Current.Collector;
   Collector.ToHead = Message.Method == "HEAD";
   Collector.MaxBytes = Options.MaxResponseBytes;
+  Current.Cancel = Options.Cancel;
+  Impl->Current = &Current;
   curl_easy_reset(Impl->Handle);
   std::string Url = BaseUrl + Message.Path;
   if (!Message.Query.empty())
@@ -107,6 +123,7 @@
   curl_slist *HeaderList = makeHeaderList(Message);
   curl_easy_setopt(Impl->Handle, CURLOPT_HTTPHEADER, HeaderList);
   const CURLcode Code = Impl->perform();
+  Impl->Current = nullptr;
   curl_slist_free_all(HeaderList);
   ExchangeResult Result = makeResult(Impl->Handle, Code, Collector);
   if (Result.Status == ExchangeStatus::TimedOut && Impl->nothingSent())
--- a/src/http/internal/connectionsockets.cpp
+++ b/src/http/internal/connectionsockets.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -45,6 +46,21 @@
   return Ended && Count > 0 ? Count - 1 : Count;
 }
 
+std::string peekInput(curl_socket_t Socket, std::size_t MaxBytes) {
+  std::string Result(MaxBytes, '\0');
+  const ssize_t Count =
+      recv(Socket, Result.data(), MaxBytes, MSG_PEEK | MSG_DONTWAIT);
+  Result.resize(Count > 0 ? static_cast<std::size_t>(Count) : 0);
+  return Result;
+}
+
+void waitForInput(curl_socket_t Socket, base::Duration Timeout) {
+  pollfd Watched{Socket, POLLIN, 0};
+  poll(&Watched, 1,
+       static_cast<int>(
+           std::chrono::ceil<std::chrono::milliseconds>(Timeout).count()));
+}
+
 void ConnectionSockets::attach(CURL *Handle) {
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &onClose);
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
--- a/src/http/internal/connectionsockets.h
+++ b/src/http/internal/connectionsockets.h
@@ -5,7 +5,9 @@
 
 #include <curl/curl.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +17,14 @@
 /// been read; 0 if the system doesn't tell.
 std::uint64_t bytesReceived(curl_socket_t Socket);
 
+/// The first bytes, at most `MaxBytes`, that have arrived on a connection and
+/// have not been read. They stay unread.
+std::string peekInput(curl_socket_t Socket, std::size_t MaxBytes);
+
+/// Blocks until input or the end of the connection arrives, for `Timeout` at
+/// most.
+void waitForInput(curl_socket_t Socket, base::Duration Timeout);
+
 /// The sockets of a client's connections. libcurl doesn't tell which socket a
 /// transfer will use before it has sent the request; this finds it by the
 /// connection's local port. Must outlive the connections.
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -42,47 +42,92 @@
 
 /// Whether the body has its stated length.
 bool hasStatedLength(const ResponseCollector &Collector) {
-  curl_off_t Stated = -1;
-  curl_easy_getinfo(Collector.Handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
-                    &Stated);
-  return Collector.Response.Framing == BodyFraming::Length && Stated >= 0 &&
-         static_cast<std::size_t>(Stated) == Collector.Response.Body.size();
+  return Collector.StatedLength == Collector.Response.Body.size();
 }
 
-/// Whether bytes have arrived behind the response, whose body has its stated
-/// length.
-bool hasBytesBehind(const ResponseCollector &Collector) {
-  return bytesReceived(Collector.Socket) > Collector.ReceivedBefore +
-                                               Collector.HeaderBytes +
-                                               Collector.Response.Body.size();
+/// What has arrived on the connection behind a body with its stated length.
+enum class BytesBehind {
+  None,
+  /// A part of what may become the beginning of another response.
+  PartOfResponse,
+  /// The beginning of another response, so the body ends where it should.
+  Response,
+  /// Bytes that belong to no response. Some of them may be in the body.
+  Other,
+};
+
+BytesBehind bytesBehind(const ResponseCollector &Collector) {
+  std::string Behind = Collector.FirstBehind;
+  if (Behind.size() < kStatusLineStartBytes)
+    Behind +=
+        peekInput(Collector.Socket, kStatusLineStartBytes - Behind.size());
+  if (Behind.empty())
+    return BytesBehind::None;
+  if (isPartOfStatusLineStart(Behind))
+    return BytesBehind::PartOfResponse;
+  return statusLineStart(Behind) > 0 ? BytesBehind::Response
+                                     : BytesBehind::Other;
 }
 
 /// A body is searched again when it has grown by this, and when it is complete.
 constexpr std::size_t kSearchStepBytes = std::size_t{1} << 10;
+/// A server may have broken off a response if it then sends nothing for this
+/// long. One that is slow does so too.
+constexpr base::Duration kBodyPause = std::chrono::milliseconds(20);
 
 constexpr const char *kBeginsAgainInBody =
     "the response begins again within its body";
+constexpr const char *kOverrun =
+    "bytes that belong to no response follow the stated length of the body";
 
 enum class BodyCheck { Accept, Wait, Reject };
 
+/// Sets why the response is rejected.
+BodyCheck reject(ResponseCollector &Collector, ResponseEnd End,
+                 const char *Problem) {
+  Collector.RejectedAs = End;
+  Collector.Problem = Problem;
+  return BodyCheck::Reject;
+}
+
+/// Determines whether a body with its stated length belongs to one response.
+/// `MayHoldOther` tells that bytes of another one may be in it.
+BodyCheck checkWholeBody(ResponseCollector &Collector, bool MayHoldOther) {
+  const BytesBehind Behind = bytesBehind(Collector);
+  if (MayHoldOther && Behind != BytesBehind::None)
+    return reject(Collector, ResponseEnd::BeganAgain, kBeginsAgainInBody);
+  if (Behind == BytesBehind::Other)
+    return reject(Collector, ResponseEnd::Overrun, kOverrun);
+  const bool MoreMayTell =
+      Behind == BytesBehind::PartOfResponse ||
+      (Behind == BytesBehind::None && (MayHoldOther || Collector.PausedInBody));
+  return MoreMayTell && !std::exchange(Collector.HasWaited, true)
+             ? BodyCheck::Wait
+             : BodyCheck::Accept;
+}
+
 /// Determines whether the body received so far may belong to one response.
 BodyCheck checkBody(ResponseCollector &Collector) {
   using Result = RepeatedHeadSearch::Result;
   const bool HasLength = hasStatedLength(Collector);
   const std::size_t Size = Collector.Response.Body.size();
-  if (!Collector.RepeatedHead ||
-      (!HasLength && Size < Collector.SearchedBytes + kSearchStepBytes))
-    return BodyCheck::Accept;
-  Collector.SearchedBytes = Size;
-  const Result Found = Collector.RepeatedHead->search(Collector.Response.Body);
+  Result Found = Result::None;
+  if (Collector.RepeatedHead &&
+      (HasLength || Size >= Collector.SearchedBytes + kSearchStepBytes)) {
+    Collector.SearchedBytes = Size;
+    Found = Collector.RepeatedHead->search(Collector.Response.Body);
+  }
   if (Found == Result::Found)
-    return BodyCheck::Reject;
-  if (Found == Result::None || !HasLength)
-    return BodyCheck::Accept;
-  if (hasBytesBehind(Collector))
-    return BodyCheck::Reject;
-  return std::exchange(Collector.WasPaused, true) ? BodyCheck::Accept
-                                                  : BodyCheck::Wait;
+    return reject(Collector, ResponseEnd::BeganAgain, kBeginsAgainInBody);
+  return HasLength ? checkWholeBody(Collector, Found != Result::None)
+                   : BodyCheck::Accept;
+}
+
+/// Notes whether the server paused before the bytes that have just arrived.
+void notePause(ResponseCollector &Collector) {
+  const base::BootTime Now = Collector.Clock.now();
+  Collector.PausedInBody = Now - Collector.LastBytesAt >= kBodyPause;
+  Collector.LastBytesAt = Now;
 }
 
 /// Whether another copy of the response begins within the whole body, in bytes
@@ -98,26 +143,47 @@
                    void *Context) {
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   const std::size_t Bytes = Size * Count;
+  if (Collector.Problem != nullptr)
+    return 0;
   if (!reserveBody(Collector, Bytes)) {
     Collector.Problem = "response too large";
     return 0;
   }
+  if (!Collector.HasWaited)
+    notePause(Collector);
   std::string &Body = Collector.Response.Body;
   Body.append(Data, Bytes);
-  switch (checkBody(Collector)) {
-  case BodyCheck::Accept:
-    return Bytes;
-  case BodyCheck::Wait:
+  BodyCheck Check = checkBody(Collector);
+  if (Check == BodyCheck::Wait && !Collector.OnPaused) {
+    waitForInput(Collector.Socket, kBytesBehindWait);
+    Check = checkBody(Collector);
+  }
+  if (Check == BodyCheck::Wait) {
     // libcurl passes the same bytes again when the transfer is resumed.
     Body.resize(Body.size() - Bytes);
     releaseBody(Collector, Bytes);
     Collector.OnPaused();
     return CURL_WRITEFUNC_PAUSE;
-  case BodyCheck::Reject:
-    break;
   }
-  Collector.BeginsAgain = true;
-  Collector.Problem = kBeginsAgainInBody;
+  return Check == BodyCheck::Accept ? Bytes : 0;
+}
+
+/// Called with the bytes of a body as they arrive, before libcurl removes the
+/// framing. It drops those behind the stated length.
+void onFramedBody(ResponseCollector &Collector, std::string_view Bytes) {
+  if (!Collector.StatedLength)
+    return;
+  const std::size_t Missing =
+      *Collector.StatedLength - Collector.Response.Body.size();
+  if (Bytes.size() > Missing)
+    Collector.FirstBehind += Bytes.substr(
+        Missing, kStatusLineStartBytes - Collector.FirstBehind.size());
+}
+
+int onDebug(CURL *, curl_infotype Type, char *Data, std::size_t Size,
+            void *Context) {
+  if (Type == CURLINFO_DATA_IN)
+    onFramedBody(*static_cast<ResponseCollector *>(Context), {Data, Size});
   return 0;
 }
 
@@ -128,14 +194,16 @@
 /// KiB that `AsyncServer` can write in one header.
 constexpr std::size_t kMaxHeaderBytes = 60 << 10;
 
-/// Whether the value of a Content-Length header is a number of bytes that
+/// The value of a Content-Length header, if it is a number of bytes that
 /// libcurl reads as such. It takes what it can of other values.
-bool isLength(std::string_view Value) {
+std::optional<std::size_t> parseLength(std::string_view Value) {
   curl_off_t Bytes = 0;
   const auto Read =
       std::from_chars(Value.data(), Value.data() + Value.size(), Bytes);
-  return Read.ec == std::errc() && Bytes >= 0 &&
-         Read.ptr == Value.data() + Value.size();
+  if (Read.ec != std::errc() || Bytes < 0 ||
+      Read.ptr != Value.data() + Value.size())
+    return std::nullopt;
+  return static_cast<std::size_t>(Bytes);
 }
 
 /// Whether the headers state one length of the body at most.
@@ -144,7 +212,7 @@
   for (const Header &Each : Headers) {
     if (!sameHeaderName(Each.Name, "content-length"))
       continue;
-    if (!isLength(Each.Value) || (Length && *Length != Each.Value))
+    if (!parseLength(Each.Value) || (Length && *Length != Each.Value))
       return false;
     Length = Each.Value;
   }
@@ -171,6 +239,10 @@
   if (!hasSingleLength(Collector.Response.Headers))
     return "no length, or several, where the headers state one";
   Collector.Response.Framing = framingOf(Collector.Response, Collector.ToHead);
+  if (Collector.Response.Framing == BodyFraming::Length)
+    Collector.StatedLength = parseLength(
+        findHeader(Collector.Response.Headers, "content-length").value());
+  Collector.LastBytesAt = Collector.Clock.now();
   if (Collector.AllowReuse && !Collector.AllowReuse(Collector.Response))
     curl_easy_setopt(Collector.Handle, CURLOPT_FORBID_REUSE, 1L);
   if (Collector.Response.Status < kFirstFinalStatus) {
@@ -203,11 +275,14 @@
   return nullptr;
 }
 
+std::string_view withoutLineEnd(std::string_view Line) {
+  return Line.substr(0, Line.find_last_not_of("\r\n") + 1);
+}
+
 /// Whether a trailer names the request: it is a line of another head. libcurl
 /// skips what follows the digits of a chunk size on its line.
 bool namesRequest(const ResponseCollector &Collector, std::string_view Line) {
-  const auto Parsed =
-      parseHeader(Line.substr(0, Line.find_last_not_of("\r\n") + 1));
+  const auto Parsed = parseHeader(withoutLineEnd(Line));
   return Parsed && Collector.RepeatedHead &&
          Collector.RepeatedHead->names(*Parsed);
 }
@@ -218,6 +293,8 @@
   auto &Collector = *static_cast<ResponseCollector *>(Context);
   std::string_view Line(Data, Size * Count);
   const std::size_t Length = Line.size();
+  if (Collector.Problem != nullptr)
+    return 0;
   Collector.HeaderBytes += Length;
   if (Collector.HeaderBytes > kMaxHeaderBytes) {
     Collector.Problem = "response too large";
@@ -227,8 +304,8 @@
   if (Collector.HeadersComplete) {
     if (!namesRequest(Collector, Line))
       return Length;
-    Collector.BeginsAgain = true;
-    Collector.Problem = "the response begins again within its trailers";
+    reject(Collector, ResponseEnd::BeganAgain,
+           "the response begins again within its trailers");
     return 0;
   }
   if (!Line.ends_with('\n')) {
@@ -268,6 +345,10 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Collector);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &Collector);
+  // Only the debug function sees the bytes that libcurl drops.
+  curl_easy_setopt(Handle, CURLOPT_DEBUGFUNCTION, &onDebug);
+  curl_easy_setopt(Handle, CURLOPT_DEBUGDATA, &Collector);
+  curl_easy_setopt(Handle, CURLOPT_VERBOSE, 1L);
 }
 
 void applyMethod(CURL *Handle, const Request &Message) {
@@ -336,6 +417,8 @@
     return "failed";
   case ResponseEnd::BeganAgain:
     return "began_again";
+  case ResponseEnd::Overrun:
+    return "overrun";
   case ResponseEnd::GivenUp:
     break;
   }
@@ -361,17 +444,21 @@
                           ResponseCollector &Collector) {
   ExchangeResult Result;
   Result.Status = statusForCode(Code);
-  Result.End =
-      Collector.BeginsAgain ? ResponseEnd::BeganAgain : responseEndFor(Code);
+  Result.End = responseEndFor(Code);
   if (Code != CURLE_OK)
-    Result.Detail = Collector.Problem != nullptr ? Collector.Problem
-                                                 : curl_easy_strerror(Code);
+    Result.Detail = curl_easy_strerror(Code);
   // libcurl reports success if the connection ends within the headers.
   if (Code == CURLE_OK && !Collector.HeadersComplete) {
     Result.Status = ExchangeStatus::Broken;
     Result.End = ResponseEnd::Closed;
     Result.Detail = "the connection ended within the headers of the response";
   }
+  // A problem may be found where libcurl can't be told of a failure.
+  if (Collector.Problem != nullptr) {
+    Result.Status = ExchangeStatus::Broken;
+    Result.End = Collector.RejectedAs.value_or(ResponseEnd::GivenUp);
+    Result.Detail = Collector.Problem;
+  }
   if (Result.Status == ExchangeStatus::Completed &&
       containsHeadOfOwnResponse(Collector)) {
     Result.Status = ExchangeStatus::Broken;
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -23,9 +23,14 @@
   std::size_t Used = 0;
 };
 
+/// Time for which the end of a body is held back, so that bytes behind it can
+/// arrive, if they would show that it is not whole.
+inline constexpr base::Duration kBytesBehindWait =
+    std::chrono::milliseconds(20);
+
 /// Collects a response from libcurl's callbacks.
 struct ResponseCollector {
-  ResponseCollector() = default;
+  explicit ResponseCollector(const base::Clock &Clock) : Clock(Clock) {}
   ResponseCollector(const ResponseCollector &) = delete;
   ~ResponseCollector();
 
@@ -56,15 +61,26 @@
   std::function<void(const http::Response &)> OnHeaders;
   /// Searches the body for another response to the request; may be empty.
   std::optional<RepeatedHeadSearch> RepeatedHead;
-  /// The body contains such a response, or ends within it.
-  bool BeginsAgain = false;
-  /// The transfer's socket, and the bytes received on it before this response.
+  /// Set if the body may not belong to one response.
+  std::optional<ResponseEnd> RejectedAs;
+  const base::Clock &Clock;
+  /// Time at which the end of the headers or the last bytes of the body
+  /// arrived.
+  base::BootTime LastBytesAt;
+  /// The server sent nothing for a while before those bytes of the body.
+  bool PausedInBody = false;
+  /// Length of the body that the headers state, if it is framed by that.
+  std::optional<std::size_t> StatedLength;
+  /// The first bytes behind the stated length that libcurl has read.
+  std::string FirstBehind;
+  /// The transfer's socket; may be missing.
   curl_socket_t Socket = CURL_SOCKET_BAD;
-  std::uint64_t ReceivedBefore = 0;
   /// Called when the transfer is paused before the end of its body is passed
-  /// on. Required if `RepeatedHead` is set; must resume the transfer later.
+  /// on; must resume the transfer after `kBytesBehindWait`. If it is empty, the
+  /// thread blocks for that time instead.
   std::function<void()> OnPaused;
-  bool WasPaused = false;
+  /// The end of the body has been held back.
+  bool HasWaited = false;
   CURL *Handle = nullptr;
 };
 
--- a/src/http/internal/responsehead.cpp
+++ b/src/http/internal/responsehead.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kStatusDigits = 3;
 /// Position of the status in a status line.
-constexpr std::size_t kStatusAt = kVersionPrefix.size() + 2;
+constexpr std::size_t kStatusAt = kStatusLineStartBytes - kStatusDigits;
 
 bool isDigit(char C) { return C >= '0' && C <= '9'; }
 
@@ -34,17 +34,16 @@
 } // namespace
 
 std::size_t statusLineStart(std::string_view Text) {
-  constexpr std::size_t Length = kStatusAt + kStatusDigits;
-  if (Text.size() < Length)
+  if (Text.size() < kStatusLineStartBytes)
     return 0;
-  for (std::size_t At = 0; At < Length; ++At)
+  for (std::size_t At = 0; At < kStatusLineStartBytes; ++At)
     if (!isAllowedAt(At, Text[At]))
       return 0;
-  return Length;
+  return kStatusLineStartBytes;
 }
 
 bool isPartOfStatusLineStart(std::string_view Text) {
-  if (Text.size() >= kStatusAt + kStatusDigits)
+  if (Text.size() >= kStatusLineStartBytes)
     return false;
   for (std::size_t At = 0; At < Text.size(); ++At)
     if (!isAllowedAt(At, Text[At]))
--- a/src/http/internal/responsehead.h
+++ b/src/http/internal/responsehead.h
@@ -13,6 +13,10 @@
 /// What each status line begins with; a digit follows.
 inline constexpr std::string_view kVersionPrefix = "HTTP/1.";
 
+/// Length of a status line's beginning up to and including its status.
+inline constexpr std::size_t kStatusLineStartBytes =
+    kVersionPrefix.size() + std::string_view("1 200").size();
+
 /// Length of a status line's beginning, such as `HTTP/1.1 200`, at the start of
 /// the text; 0 if there is none.
 std::size_t statusLineStart(std::string_view Text);
--- a/src/http/tests/strayresponsetest.cpp
+++ b/src/http/tests/strayresponsetest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <iterator>
 #include <random>
@@ -32,6 +33,7 @@
 /// Seed and number of the random cases.
 constexpr unsigned kSeed = 20261205;
 constexpr int kRounds = 400;
+constexpr int kIdleRounds = 40;
 
 /// A server whose first connection is spoiled: `BehindFirst` follows its first
 /// response in the same write, `WhileIdle` a moment later, and `BeforeSecond`
@@ -141,6 +143,18 @@
   http::Client Client;
 };
 
+/// Whether the client can tell that these bytes right behind a response are not
+/// the end of its body: they begin another response.
+bool mayBeginResponse(const std::string &Behind) {
+  const std::string Pattern = "HTTP/1.0 000";
+  return std::equal(Behind.begin(),
+                    Behind.begin() + std::min(Behind.size(), Pattern.size()),
+                    Pattern.begin(), [](char Actual, char Expected) {
+                      return Expected == '0' ? Actual >= '0' && Actual <= '9'
+                                             : Actual == Expected;
+                    });
+}
+
 /// Whether a result is the server's whole response to the request.
 bool isOwnResponse(const http::ExchangeResult &Result) {
   return Result.Status == http::ExchangeStatus::Completed &&
@@ -283,7 +297,9 @@
     (Below(2) == 0 ? Server.BeforeSecond : Server.BehindFirst) = Bytes;
     Server.CloseAfterSecond = Below(2) == 0;
     Server.start();
-    CHECK(isOwnResponse(exchange(Server.url())));
+    const http::ExchangeResult First = exchange(Server.url());
+    CHECK(isOwnResponse(First) == mayBeginResponse(Server.BehindFirst));
+    CHECK((isOwnResponse(First) || First.End == http::ResponseEnd::Overrun));
     const http::ExchangeResult Second = exchange(Server.url());
     const bool NamesRequest =
         http::findSingularHeader(Second.Response.Headers, "attempt") == "own";
@@ -292,6 +308,24 @@
   }
 }
 
+// Guards against bytes that have come late and are taken for a part of a
+// response, or spoil it.
+TEST_CASE_FIXTURE(Fixture, "random stray bytes on an idle connection change no "
+                           "response") {
+  std::mt19937 Random(kSeed);
+  for (int Round = 0; Round < kIdleRounds; ++Round) {
+    SpoilingServer Server;
+    for (std::size_t Count = 1 + Random() % 100; Count > 0; --Count)
+      Server.WhileIdle += static_cast<char>(Random());
+    CAPTURE(Round);
+    Server.start();
+    CHECK(isOwnResponse(exchange(Server.url())));
+    std::this_thread::sleep_for(kArrivalTime);
+    CHECK(isOwnResponse(exchange(Server.url())));
+    CHECK(Server.Connections == 2);
+  }
+}
+
 // Guards against a switch of protocols, which nobody asked for, that is passed
 // on as a final response.
 TEST_CASE_FIXTURE(Fixture, "a response that switches protocols is rejected") {
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -478,7 +478,8 @@
   if (Exchange.End == http::ResponseEnd::BeganAgain)
     return Failed(ErrorKind::OutcomeUnknown, Outcome::Unknown,
                   "the server sent a part of a response and then began again");
-  if (Exchange.Status != ExchangeStatus::Completed)
+  const bool Overrun = Exchange.End == http::ResponseEnd::Overrun;
+  if (Exchange.Status != ExchangeStatus::Completed && !Overrun)
     return Failed(ErrorKind::OutcomeUnknown, Outcome::Unknown,
                   "the connection broke before a whole response");
   const http::Response &Received = Exchange.Response;
@@ -504,6 +505,10 @@
     Result.ReachedServer = true;
     return Result;
   }
+  // Only the body is in doubt, so the refusals above hold.
+  if (Overrun)
+    return Failed(ErrorKind::OutcomeUnknown, Outcome::Unknown,
+                  "bytes that belong to no response may be in the body");
   if (isSuccess(Received.Status) &&
       (!http::findSingularHeader(Received.Headers, Names.Signature) ||
        http::findHeader(Received.Headers, "content-encoding")))
