Check the framing of bodies in chunks beside libcurl

A response cut within a padded chunk size and continued by stray text counted as whole.

Cause: libcurl skips what stands between the digits of a chunk size and the end of the line, whatever its length, and doesn't report it.

ChunkFraming follows the grammar of RFC 9112; the first byte that can't belong there ends the exchange. It lets the blocking client abort too.

--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -171,6 +171,9 @@
 /// Called with the bytes of a body as they arrive, before libcurl removes the
 /// framing. It drops those behind the stated length.
 void onFramedBody(ResponseCollector &Collector, std::string_view Bytes) {
+  if (Collector.Response.Framing == BodyFraming::Chunked &&
+      !Collector.Chunks.accept(Bytes))
+    Collector.Problem = "malformed chunk";
   if (!Collector.StatedLength)
     return;
   const std::size_t Missing =
@@ -279,8 +282,13 @@
   return Line.substr(0, Line.find_last_not_of("\r\n") + 1);
 }
 
-/// Whether a trailer names the request: it is a line of another head. libcurl
-/// skips what follows the digits of a chunk size on its line.
+/// Whether a line behind the last chunk may stand there.
+bool isTrailer(std::string_view Line) {
+  const std::string_view Text = withoutLineEnd(Line);
+  return Text.empty() || parseHeader(Text);
+}
+
+/// Whether a trailer names the request: it is a line of another head.
 bool namesRequest(const ResponseCollector &Collector, std::string_view Line) {
   const auto Parsed = parseHeader(withoutLineEnd(Line));
   return Parsed && Collector.RepeatedHead &&
@@ -302,6 +310,10 @@
   }
   // What follows are trailers. They must not replace missing headers.
   if (Collector.HeadersComplete) {
+    if (!isTrailer(Line)) {
+      Collector.Problem = "malformed trailer";
+      return 0;
+    }
     if (!namesRequest(Collector, Line))
       return Length;
     reject(Collector, ResponseEnd::BeganAgain,
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "http/client.h"
+#include "http/internal/chunkframing.h"
 #include "http/internal/repeatedhead.h"
 
 #include <curl/curl.h>
@@ -73,6 +74,8 @@
   std::optional<std::size_t> StatedLength;
   /// The first bytes behind the stated length that libcurl has read.
   std::string FirstBehind;
+  /// Framing of a body in chunks.
+  ChunkFraming Chunks;
   /// The transfer's socket; may be missing.
   curl_socket_t Socket = CURL_SOCKET_BAD;
   /// Called when the transfer is paused before the end of its body is passed
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -1,4 +1,5 @@
 #include "http/asyncclient.h"
+#include "http/client.h"
 #include "http/tests/loopbacklistener.h"
 
 #include <doctest/doctest.h>
@@ -67,6 +68,34 @@
 /// both sockets hold.
 constexpr std::size_t kMaxSentBytes = 32 << 20;
 
+http::Request request() {
+  http::Request Message;
+  Message.Method = "GET";
+  Message.Path = "/";
+  return Message;
+}
+
+http::ExchangeResult exchange(const std::string &Url) {
+  base::SystemClock Clock;
+  eventloop::EventLoop Loop(Clock);
+  http::AsyncClient Client(Loop);
+  http::TransferOptions Options;
+  Options.MaxResponseBytes = kMaxBodyBytes;
+  http::ExchangeResult Completed;
+  Client.start(Url, request(), Options, [&](http::ExchangeResult Result) {
+    Completed = std::move(Result);
+    Loop.stop();
+  });
+  Loop.run();
+  return Completed;
+}
+
+http::ExchangeResult exchangeBlocking(const std::string &Url) {
+  http::ExchangeOptions Options;
+  Options.MaxResponseBytes = kMaxBodyBytes;
+  return http::Client().exchange(Url, request(), Options);
+}
+
 } // namespace
 
 // Guards against memory that grows until a deadline, and against a processor
@@ -107,32 +136,42 @@
     Prefix = "";
     Repeated = "nonsense";
   }
-  EndlessServer Server(Prefix, Repeated);
-  base::SystemClock Clock;
-  eventloop::EventLoop Loop(Clock);
-  http::AsyncClient Client(Loop);
-  http::Request Message;
-  Message.Method = "GET";
-  Message.Path = "/";
-  http::TransferOptions Options;
-  Options.MaxResponseBytes = kMaxBodyBytes;
-  std::optional<http::ExchangeResult> Completed;
-  const base::BootTime Started = Clock.now();
-  Client.start(Server.url(), Message, Options,
-               [&](http::ExchangeResult Result) {
-                 Completed = std::move(Result);
-                 Loop.stop();
-               });
-  Loop.run();
-  REQUIRE(Completed);
-  CHECK(Completed->Status == http::ExchangeStatus::Broken);
-  CHECK(!Completed->Detail.empty());
-  CHECK(Clock.now() - Started < 5s);
-  CHECK(Completed->Response.Body.size() <= kMaxBodyBytes);
-  while (Server.ClosedByClient == 0 && Clock.now() - Started < 8s)
-    std::this_thread::sleep_for(5ms);
-  CHECK(Server.ClosedByClient == 1);
-  CHECK(Server.BytesSent <= kMaxSentBytes);
+  SUBCASE("lines that are not HTTP") {
+    Prefix = "";
+    Repeated = "nonsense\r\n";
+  }
+  SUBCASE("a status line") {
+    Prefix = "HTTP/1.1 200 ";
+    Repeated = "fine";
+  }
+  SUBCASE("a body beyond its length") {
+    Prefix += "Content-Length: 1000\r\n\r\n";
+    Repeated = "0123456789";
+  }
+  SUBCASE("a body of a great length") {
+    Prefix += "Content-Length: 1000000000000\r\n\r\n";
+    Repeated = "0123456789";
+  }
+  SUBCASE("chunk sizes without chunks") {
+    Prefix += "Transfer-Encoding: chunked\r\n\r\n";
+    Repeated = "5\r\n";
+  }
+  for (const bool Blocking : {false, true}) {
+    CAPTURE(Blocking);
+    EndlessServer Server(Prefix, Repeated);
+    const base::SystemClock Clock;
+    const base::BootTime Started = Clock.now();
+    const http::ExchangeResult Completed =
+        Blocking ? exchangeBlocking(Server.url()) : exchange(Server.url());
+    CHECK(Completed.Status == http::ExchangeStatus::Broken);
+    CHECK(!Completed.Detail.empty());
+    CHECK(Clock.now() - Started < 5s);
+    CHECK(Completed.Response.Body.size() <= kMaxBodyBytes);
+    while (Server.ClosedByClient == 0 && Clock.now() - Started < 8s)
+      std::this_thread::sleep_for(5ms);
+    CHECK(Server.ClosedByClient == 1);
+    CHECK(Server.BytesSent <= kMaxSentBytes);
+  }
 }
 
 // Guards against memory that grows with the number of such responses.
--- a/src/http/tests/overruntest.cpp
+++ b/src/http/tests/overruntest.cpp
@@ -153,3 +153,24 @@
       CHECK(Result.Response.Body.empty());
     }
 }
+
+// Guards against a chunked body that ends early, because the rest of a chunk
+// size is lost with stray bytes on its line.
+TEST_CASE("a truncated chunked response is not completed by stray bytes") {
+  const std::string Whole = "HTTP/1.1 200 OK\r\nAttempt: own\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "0014;note=1\r\n01234567890123456789\r\n"
+                            "0014\r\n01234567890123456789\r\n0\r\n";
+  const std::size_t HeadEnd = Whole.find("\r\n\r\n") + 4;
+  for (const bool Blocking : {false, true})
+    for (const std::string Stray :
+         {"panic: no memory\n\n\n", "####\r\n\r\n", "\n\r\nnote: x\r\n\r\n"})
+      for (std::size_t Cut = HeadEnd; Cut + 5 < Whole.size(); ++Cut) {
+        CAPTURE(Blocking);
+        CAPTURE(Stray);
+        CAPTURE(Whole.substr(0, Cut));
+        PartsServer Server({Whole.substr(0, Cut) + Stray}, true);
+        CHECK(fetch(Blocking, Server.url()).Status ==
+              http::ExchangeStatus::Broken);
+      }
+}
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -378,6 +378,13 @@
     };
     ExpectedStatus = 200;
   }
+  SUBCASE("in a chunk size") {
+    Respond = [&](const std::string &Request) {
+      return "HTTP/1.1 200 OK\r\nAttempt: " + headerIn(Request, "Attempt") +
+             "\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             std::string(1 << 16, '0');
+    };
+  }
   SUBCASE("in a body without a length") {
     Respond = [&](const std::string &Request) {
       return "HTTP/1.1 200 OK\r\nAttempt: " + headerIn(Request, "Attempt") +
--- a/tests/process/framingtest.cpp
+++ b/tests/process/framingtest.cpp
@@ -34,6 +34,9 @@
   if (Chooses("again"))
     return Ok + "Content-Length: 600\r\n\r\n" + kPart + Ok +
            "Content-Length: 600\r\n\r\n" + kPart + kPart;
+  if (Chooses("padded"))
+    return Ok + "Transfer-Encoding: chunked\r\n\r\n12c\r\n" + kPart +
+           "\r\n0panic: no memory\n\n\n";
   if (Chooses("length"))
     return Ok + "Content-Length: 600\r\n\r\n" + kPart;
   if (Chooses("whole"))
@@ -185,8 +188,8 @@
                                 "last chunk fails") {
   for (const DaemonUnderTest *Entry : {&Remote, &Local})
     for (const char *Path : {"/pages", "/open"})
-      for (const char *Server :
-           {"?length", "?chunk", "?length-old", "?stray", "?again"}) {
+      for (const char *Server : {"?length", "?chunk", "?length-old", "?stray",
+                                 "?again", "?padded"}) {
         CAPTURE(Entry->Options.Instance);
         CAPTURE(Path);
         CAPTURE(Server);
