Reject responses with an invalid status

Here 000, 099 and 1000 were rejected, but 600 to 999 reached callers as the server's answer on both data paths. A frame of another daemon with a status of 1000 or more would have ended the process, since the HTTP library throws; the threaded server closed the connection without a response.

Cause: three digits counted as a status, and both servers relied on what they were given.

A status is from 100 to 599 now, one that is passed on from 200 to 599; both servers send 502 in place of another.

--- a/src/http/asyncserver.h
+++ b/src/http/asyncserver.h
@@ -89,7 +89,8 @@
   void setLimits(const CallerLimits &NewLimits);
 
   /// Sends the response, or 502 if one of its headers is longer than 65,000
-  /// bytes. Does nothing if the caller has disconnected.
+  /// bytes or its status is not that of a final response. Does nothing if the
+  /// caller has disconnected.
   ///
   /// A response with the framing `UntilClose` is sent without a length and ends
   /// with the connection, so the caller is told no more about its end than this
--- a/src/http/internal/callersocket.cpp
+++ b/src/http/internal/callersocket.cpp
@@ -204,8 +204,8 @@
          "responses behind this one would be lost");
   if (Message.CloseConnection || UntilClose)
     Closing = true;
-  // The library would throw on such a header.
-  if (hasOversizedHeader(Message))
+  // The library would throw on such a header, or on some of these statuses.
+  if (hasOversizedHeader(Message) || !isFinalStatus(Message.Status))
     Message = Response{kBadGateway, {}, ""};
   Found->Response = std::move(Message);
   queueResponses();
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -190,7 +190,6 @@
   return 0;
 }
 
-constexpr std::uint16_t kFirstFinalStatus = 200;
 constexpr std::uint16_t kNoContent = 204;
 constexpr std::uint16_t kNotModified = 304;
 /// Upper bound of all header lines of a response, in bytes. Less than the 64
--- a/src/http/internal/responsehead.cpp
+++ b/src/http/internal/responsehead.cpp
@@ -59,7 +59,7 @@
   std::uint16_t Status = 0;
   std::from_chars(Line.data() + Length - kStatusDigits, Line.data() + Length,
                   Status);
-  return Status;
+  return Status >= kFirstStatus && Status <= kLastStatus ? Status : 0;
 }
 
 bool isTokenCharacter(char C) {
--- a/src/http/internal/responsehead.h
+++ b/src/http/internal/responsehead.h
@@ -26,7 +26,7 @@
 bool isPartOfStatusLineStart(std::string_view Text);
 
 /// Status in a status line without its line end, such as `HTTP/1.1 200 OK`; 0
-/// if it is malformed.
+/// if the line is malformed or no response has that status.
 std::uint16_t statusIn(std::string_view Line);
 
 /// Whether a character may be part of the name of a header.
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t kBodyBlockBytes = 64 << 10;
 constexpr std::uint16_t kNoContent = 204;
 constexpr std::uint16_t kNotModified = 304;
+constexpr std::uint16_t kBadGateway = 502;
 
 class SocketConnection final : public CallerConnection {
 public:
@@ -203,6 +204,10 @@
 MHD_Result queueResponse(MHD_Connection *Connection, bool IsHead,
                          const Response &Message, bool Close,
                          UnfinishedSockets &Unfinished) {
+  // libmicrohttpd would close the connection without a response.
+  if (!isFinalStatus(Message.Status))
+    return queueResponse(Connection, IsHead, {kBadGateway, {}, ""}, Close,
+                         Unfinished);
   MHD_Response *MhdResponse =
       makeMhdResponse(Connection, IsHead, Message, Unfinished);
   for (const Header &Each : Message.Headers)
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,6 +30,15 @@
   }
 };
 
+/// The valid statuses, and those of final responses (RFC 9110 section 15).
+inline constexpr std::uint16_t kFirstStatus = 100;
+inline constexpr std::uint16_t kFirstFinalStatus = 200;
+inline constexpr std::uint16_t kLastStatus = 599;
+
+constexpr bool isFinalStatus(std::uint16_t Status) {
+  return Status >= kFirstFinalStatus && Status <= kLastStatus;
+}
+
 /// How the end of a response's body is determined (RFC 9112 section 6.3).
 enum class BodyFraming : std::uint8_t {
   /// By a stated length.
--- a/src/relay/tests/responseframingtest.cpp
+++ b/src/relay/tests/responseframingtest.cpp
@@ -44,6 +44,14 @@
 const ServerFraming kNone10{"none, HTTP/1.0", "HTTP/1.0 200 OK", "", kBody};
 const ServerFraming kOtherCoding{"another coding", "HTTP/1.1 200 OK",
                                  "Transfer-Encoding: gzip\r\n", kBody};
+const ServerFraming kStatus000{"status 000", "HTTP/1.1 000 OK",
+                               "Content-Length: 30\r\n", kBody};
+const ServerFraming kStatus099{"status 099", "HTTP/1.1 099 OK",
+                               "Content-Length: 30\r\n", kBody};
+const ServerFraming kStatus600{"status 600", "HTTP/1.1 600 OK",
+                               "Content-Length: 30\r\n", kBody};
+const ServerFraming kStatus1000{"status 1000", "HTTP/1.1 1000 OK", "", kBody};
+const ServerFraming kNoStatusLine{"no status line", "nonsense", "", kBody};
 
 enum class ServerEnd {
   Open,
@@ -222,6 +230,13 @@
       {&kOtherCoding, true, End::Close, {502}},
       {&kOtherCoding, false, End::Reset, {502}},
       {&kOtherCoding, false, End::Close, {502}},
+      {&kStatus000, true, End::Open, {502}},
+      {&kStatus000, false, End::Close, {502}},
+      {&kStatus099, true, End::Open, {502}},
+      {&kStatus099, true, End::Response, {502}},
+      {&kStatus600, true, End::Open, {502}},
+      {&kStatus1000, true, End::Close, {502}},
+      {&kNoStatusLine, true, End::Open, {502}},
   };
   for (const Cell &Case : Cells) {
     ScriptedBackend Front([](const std::string &Request) {
--- a/tests/process/framingtest.cpp
+++ b/tests/process/framingtest.cpp
@@ -23,6 +23,9 @@
   };
   const std::string Version = Chooses("old") ? "HTTP/1.0 " : "HTTP/1.1 ";
   const std::string Ok = Version + "200 OK\r\n";
+  for (const char *Invalid : {"000", "099", "600", "999", "1000"})
+    if (Chooses(Invalid))
+      return Version + Invalid + " OK\r\nContent-Length: 300\r\n\r\n" + kPart;
   if (Chooses("204"))
     return Version + "204 No Content\r\n\r\n";
   if (Chooses("304"))
@@ -208,6 +211,23 @@
   }
 }
 
+// Guards against a status that is none, which counts as an answer of the server
+// or ends the connection without one.
+TEST_CASE_FIXTURE(FramingFleet, "a response with an invalid status fails") {
+  for (const DaemonUnderTest *Entry : {&Remote, &Local})
+    for (const char *Path : {"/pages", "/open"})
+      for (const char *Server : {"?000", "?099", "?600", "?999", "?1000"}) {
+        CAPTURE(Entry->Options.Instance);
+        CAPTURE(Path);
+        CAPTURE(Server);
+        const Received Result = sendTo(
+            *Entry, requestFor("GET", std::string(Path) + Server, kClose));
+        CHECK(Result.has("HTTP/1.1 502 "));
+        CHECK(Result.has("Jackdaw-Outcome: unknown"));
+        CHECK(Result.Body.find(kPart) == std::string::npos);
+      }
+}
+
 // Guards against a length that the backend server didn't state.
 TEST_CASE_FIXTURE(FramingFleet, "a response without a body has no length but "
                                 "the server's") {
