Keep reads of the newest records that are in progress

Reported offsets start no read while the newest records are being read, and the records of a superseded read are delivered.

--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -45,8 +45,10 @@
 void StreamFollower::startFrom(const KeyedPage &Known) { adoptNewest(Known); }
 
 void StreamFollower::readNewest() {
+  ++NewestReads;
   Store.readNewestRecords(Settings.Stream, [this, ReadId = ++LatestRead](
                                                const StoreResult &Result) {
+    --NewestReads;
     onNewest(ReadId, Result);
   });
 }
@@ -86,27 +88,38 @@
 
 void StreamFollower::catchUpTo(base::LogOffset Offset) {
   const base::BootTime Now = Loop.clock().now();
-  if (!Synced || Offset <= Position || Now < ExtraReadAllowedAt)
+  // The newest records replace those that another read would return.
+  if (!Synced || Offset <= Position || Now < ExtraReadAllowedAt ||
+      NewestReads > 0)
     return;
   ExtraReadAllowedAt = Now + kMinExtraReadInterval;
   readNext();
 }
 
 void StreamFollower::onNewest(std::uint64_t ReadId, const StoreResult &Result) {
-  if (ReadId != LatestRead)
+  // A superseded read is still worth its records: the one after it may take as
+  // long.
+  if (ReadId != LatestRead) {
+    if (Result.Status == StoreStatus::Done)
+      deliverNewest(Result.Page);
     return;
+  }
   if (Result.Status != StoreStatus::Done)
     return retry(Result, true);
   adoptNewest(Result.Page);
 }
 
 void StreamFollower::adoptNewest(const KeyedPage &Page) {
+  deliverNewest(Page);
+  scheduleNextRead();
+}
+
+void StreamFollower::deliverNewest(const KeyedPage &Page) {
   Synced = true;
   deliver(Page);
   // The next read starts at the end of the stream, since the store may not
   // retain the records after the newest one of a key.
   Position = std::max(Position, Page.End);
-  scheduleNextRead();
 }
 
 void StreamFollower::onRead(std::uint64_t ReadId, const StoreResult &Result) {
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -60,8 +60,8 @@
 
   /// Reads at once, on a separate connection, if records up to `Offset` have
   /// not been read yet. Called when another daemon is known to have read them.
-  /// Does nothing before the first read has completed, and within 200 ms of the
-  /// last read that it started.
+  /// Does nothing before the first read has completed, within 200 ms of the
+  /// last read that it started, and while the newest records are being read.
   void catchUpTo(base::LogOffset Offset);
 
   /// Reads at once without waiting for records, on a separate connection. Does
@@ -82,6 +82,7 @@
   void scheduleNextRead();
   void onNewest(std::uint64_t ReadId, const StoreResult &Result);
   void adoptNewest(const KeyedPage &Page);
+  void deliverNewest(const KeyedPage &Page);
   void onRead(std::uint64_t ReadId, const StoreResult &Result);
   void deliver(const KeyedPage &Page);
   /// Schedules a failed read again: `readNewest` if `Newest`, else `readNext`.
@@ -107,6 +108,8 @@
   bool ReachabilityReported = false;
   /// Whether the newest record of each key has been read once.
   bool Synced = false;
+  /// Reads of the newest records that have not completed.
+  int NewestReads = 0;
 };
 
 } // namespace platformlog
--- a/src/platformlog/tests/streamfollowertest.cpp
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -16,7 +16,8 @@
 
   void readNewestRecords(const std::string &, Callback Done) override {
     ++Calls;
-    Loop.post([this, Done = std::move(Done)] { Done(recordsAfter({})); });
+    Loop.startTimer(NewestDelay,
+                    [this, Done = std::move(Done)] { Done(recordsAfter({})); });
   }
 
   void read(const std::string &, base::LogOffset After, base::Duration Wait,
@@ -60,6 +61,8 @@
   }
 
   int Calls = 0;
+  /// Time that reading the newest records takes.
+  base::Duration NewestDelay{};
   /// Reads after an earlier offset fail with `Gone`.
   base::LogOffset FirstReadable;
   bool HoldReads = false;
@@ -162,3 +165,35 @@
   CHECK(Store.Calls <= 6);
   CHECK(Follower.position() == base::LogOffset(3));
 }
+
+// Guards against a follower that never gets the newest records, because it
+// starts to read again for each offset that another daemon reports before the
+// read in progress has completed.
+TEST_CASE_FIXTURE(Fixture, "reported offsets don't keep a follower that is "
+                           "behind from the newest records") {
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Follower.start();
+  runFor(50ms);
+  Store.NewestDelay = 300ms;
+  Store.addForgotten();
+  Store.addRecord("policy");
+  Store.addForgotten();
+  const int CallsBefore = Store.Calls;
+  SUBCASE("offsets") {
+    for (int Step = 0; Step < 20; ++Step) {
+      Follower.catchUpTo(base::LogOffset(3));
+      runFor(50ms);
+    }
+  }
+  SUBCASE("reads without waiting") {
+    for (int Step = 0; Step < 20; ++Step) {
+      if (Step % 4 == 0)
+        Follower.readNow();
+      runFor(50ms);
+    }
+  }
+  CHECK(ReceivedKeys == std::vector<std::string>{"policy"});
+  CHECK(Follower.position() == base::LogOffset(3));
+  CHECK(Store.Calls <= CallsBefore + 20);
+}
