Read the records between two pages of the newest ones

A record that is appended while the newest records are read in pages, and returned by a later page, made the follower skip others with lower offsets. They are left to the next read now, which starts at the end that the first page states. Before: the new test missed "b".

--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -114,8 +114,13 @@
   scheduleNextRead();
 }
 
-void StreamFollower::deliverNewest(const KeyedPage &Page) {
+void StreamFollower::deliverNewest(KeyedPage Page) {
   Synced = true;
+  // A record behind the end was appended while the pages were read, and may
+  // follow others that the pages don't have. The next read returns them all.
+  std::erase_if(Page.Records, [&Page](const KeyedRecord &Each) {
+    return Each.Offset > Page.End;
+  });
   deliver(Page);
   // The next read starts at the end of the stream, since the store may not
   // retain the records after the newest one of a key.
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -82,7 +82,7 @@
   void scheduleNextRead();
   void onNewest(std::uint64_t ReadId, const StoreResult &Result);
   void adoptNewest(const KeyedPage &Page);
-  void deliverNewest(const KeyedPage &Page);
+  void deliverNewest(KeyedPage Page);
   void onRead(std::uint64_t ReadId, const StoreResult &Result);
   void deliver(const KeyedPage &Page);
   /// Schedules a failed read again: `readNewest` if `Newest`, else `readNext`.
--- a/src/platformlog/tests/streamfollowertest.cpp
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -2,7 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace std::chrono_literals;
 
@@ -16,8 +21,15 @@
 
   void readNewestRecords(const std::string &, Callback Done) override {
     ++Calls;
-    Loop.startTimer(NewestDelay,
-                    [this, Done = std::move(Done)] { Done(recordsAfter({})); });
+    Loop.startTimer(NewestDelay, [this, Done = std::move(Done)] {
+      platformlog::StoreResult Result = recordsAfter({});
+      Result.Page.End = std::min(Result.Page.End, NewestEnd);
+      std::erase_if(Result.Page.Records,
+                    [this](const platformlog::KeyedRecord &Each) {
+                      return Each.Key == HiddenFromNewest;
+                    });
+      Done(std::move(Result));
+    });
   }
 
   void read(const std::string &, base::LogOffset After, base::Duration Wait,
@@ -63,6 +75,11 @@
   int Calls = 0;
   /// Time that reading the newest records takes.
   base::Duration NewestDelay{};
+  /// The end of the stream when the newest records were first asked for; later
+  /// ones may be among those that are returned.
+  base::LogOffset NewestEnd{std::numeric_limits<std::uint64_t>::max()};
+  /// Key of a record that is not among the newest ones yet.
+  std::string HiddenFromNewest;
   /// Reads after an earlier offset fail with `Gone`.
   base::LogOffset FirstReadable;
   bool HoldReads = false;
@@ -197,3 +214,22 @@
   CHECK(Follower.position() == base::LogOffset(3));
   CHECK(Store.Calls <= CallsBefore + 20);
 }
+
+// Guards against records that are never read, because one that was appended
+// while the newest records were read in pages has a higher offset.
+TEST_CASE_FIXTURE(Fixture,
+                  "records that are appended while the newest ones are "
+                  "read are not skipped") {
+  Store.addRecord("a");
+  Store.addRecord("b");
+  Store.addRecord("c");
+  Store.NewestEnd = base::LogOffset(1);
+  // The page of "b" was read before it was appended.
+  Store.HiddenFromNewest = "b";
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Follower.start();
+  runFor(100ms);
+  CHECK(ReceivedKeys == std::vector<std::string>{"a", "b", "c"});
+  CHECK(Follower.position() == base::LogOffset(3));
+}
