Bound the bodies that all blocking clients receive together

Each thread of the own interface accepted a body of 16 MB on its own, so a server that sends bodies without an end could exhaust the memory of a daemon with many slots.

The blocking clients of a process share 64 MB. Before: the new test got a body beyond the bound. After: it is rejected.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -78,7 +78,9 @@
 };
 
 /// A blocking HTTP/1.1 client over one libcurl handle, which reuses its
-/// connection. Not thread-safe.
+/// connection. Not thread-safe. If the bodies that all clients of the process
+/// are receiving exceed 64 MiB together, an exchange whose body is larger than
+/// 256 KiB ends with `Broken`.
 class Client {
 public:
   Client();
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Limit on the bodies of all responses that the blocking clients of the
+/// process are receiving.
+constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20;
+BodyBudget SharedBudget{kMaxBodyBytes, 0};
+
 /// An exchange in progress.
 struct Exchange {
   explicit Exchange(const base::Clock &Clock) : Collector(Clock) {}
@@ -110,6 +115,7 @@
   ResponseCollector &Collector = Current.Collector;
   Collector.ToHead = Message.Method == "HEAD";
   Collector.MaxBytes = Options.MaxResponseBytes;
+  Collector.Budget = &SharedBudget;
   Current.Cancel = Options.Cancel;
   Impl->Current = &Current;
   curl_easy_reset(Impl->Handle);
--- a/src/http/internal/curlsupport.cpp
+++ b/src/http/internal/curlsupport.cpp
@@ -25,9 +25,11 @@
   BodyBudget *Budget = Collector.Budget;
   if (Budget == nullptr)
     return true;
-  if (Size > kGuaranteedBodyBytes && Budget->Used + Bytes > Budget->Max)
+  const std::size_t UsedBefore = Budget->Used.fetch_add(Bytes);
+  if (Size > kGuaranteedBodyBytes && UsedBefore + Bytes > Budget->Max) {
+    Budget->Used -= Bytes;
     return false;
-  Budget->Used += Bytes;
+  }
   Collector.BudgetedBytes += Bytes;
   return true;
 }
--- a/src/http/internal/curlsupport.h
+++ b/src/http/internal/curlsupport.h
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,10 +19,10 @@
 /// Initializes libcurl once per process.
 void initializeCurl();
 
-/// Memory for the bodies of all responses of a client, in bytes.
+/// Memory for the bodies of all responses of one or several clients, in bytes.
 struct BodyBudget {
   std::size_t Max = 0;
-  std::size_t Used = 0;
+  std::atomic<std::size_t> Used = 0;
 };
 
 /// Time for which the end of a body is held back, so that bytes behind it can
--- a/src/http/tests/endlessresponsetest.cpp
+++ b/src/http/tests/endlessresponsetest.cpp
@@ -1,6 +1,6 @@
 #include "http/asyncclient.h"
 #include "http/client.h"
-#include "http/tests/loopbacklistener.h"
+#include "http/tests/partsserver.h"
 
 #include <doctest/doctest.h>
 
@@ -202,3 +202,28 @@
   for (const std::size_t Size : Sizes)
     CHECK(Size <= kMaxBodyBytes);
 }
+
+// Guards against the same with the blocking clients of many threads.
+TEST_CASE("the bodies of all responses of blocking clients are bounded") {
+  constexpr std::size_t MaxBytesTogether = std::size_t{64} << 20;
+  constexpr std::size_t HeldBytes = std::size_t{40} << 20;
+  http::ExchangeOptions Options;
+  Options.MaxResponseBytes = 2 * MaxBytesTogether;
+  std::atomic<bool> Cancel = false;
+  PartsServer Stalled({"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" +
+                       std::string(HeldBytes, 'x')});
+  std::thread Holder([&] {
+    http::ExchangeOptions HeldOptions = Options;
+    HeldOptions.Cancel = &Cancel;
+    http::Client().exchange(Stalled.url(), request(), HeldOptions);
+  });
+  std::this_thread::sleep_for(500ms);
+  EndlessServer Endless("HTTP/1.1 200 OK\r\n\r\n", "0123456789");
+  const auto Result =
+      http::Client().exchange(Endless.url(), request(), Options);
+  Cancel = true;
+  Holder.join();
+  CHECK(Result.Status == http::ExchangeStatus::Broken);
+  CHECK(Result.Detail == "response too large");
+  CHECK(Result.Response.Body.size() <= MaxBytesTogether - HeldBytes);
+}
