Stop granting permits as an isolated limit coordinator

A coordinator samples its contact with five probes every 150 ms and grants nothing 400 ms after the last reply that counts, before a successor starts; the two times are derived from each other.

--- a/src/relay/tests/fleetratelimitertest.cpp
+++ b/src/relay/tests/fleetratelimitertest.cpp
@@ -423,3 +423,79 @@
   REQUIRE(Grants.size() == 1);
   CHECK(Grants[0].Granted == Expected);
 }
+
+namespace {
+
+/// A daemon that coordinates the limits of a fleet of three.
+struct ContactFixture : CoordinatorFixture {
+  ContactFixture() {
+    // Instances that this daemon precedes for the workspace's group.
+    const std::size_t Group = ratelimit::CoordinatorTable::groupOf(Name);
+    for (std::uint16_t Number = 2; Others.size() < 2; ++Number) {
+      const base::InstanceId Instance("m-" + std::to_string(Number));
+      ratelimit::CoordinatorTable Both;
+      for (const base::InstanceId &Each :
+           {base::InstanceId("outside"), Instance})
+        Both.add({{Each, base::Incarnation(1)}, {}});
+      if (Both.coordinatorOf(Group)->Process.Instance == Instance)
+        continue;
+      membership::Member Record;
+      Record.Instance = Instance;
+      Record.Incarnation = base::Incarnation(1);
+      Record.Peer = {"127.0.0.1", Number};
+      Others.push_back(Record.Peer);
+      Members.merge(Record, kClock.now());
+    }
+    Limiter.setDaemonCount(3);
+    applyChanges(Limiter, Members);
+  }
+
+  /// Runs for a time in which the other daemons reply to probes or not.
+  void runFor(base::Duration Length, bool Reply) {
+    const base::BootTime Until = kClock.now() + Length;
+    while (kClock.now() < Until) {
+      Limiter.tick();
+      for (const auto &Each : std::exchange(Peers.Sent, {}))
+        if (const auto *Probe = std::get_if<relay::ContactProbe>(&Each.Message);
+            Probe != nullptr && Reply)
+          Limiter.onDatagram(Each.To, relay::encodePermitMessage(
+                                          relay::ContactReply{Probe->Id}));
+      Loop.startTimer(10ms, [this] { Loop.stop(); });
+      Loop.run();
+    }
+  }
+
+  std::vector<base::Endpoint> Others;
+};
+
+} // namespace
+
+// Guards against an isolated limit coordinator that grants beside its
+// successor.
+TEST_CASE("a coordinator that is cut off grants nothing until it is in contact "
+          "again") {
+  ContactFixture Test;
+  Test.runFor(600ms, true);
+  CHECK(Test.request(1, 1) == 1);
+  Test.runFor(ratelimit::kContactLifetime, false);
+  CHECK(Test.request(2, 1) == std::nullopt);
+  std::optional<RateLimitResult> Own;
+  Test.Limiter.admit(workspace("w", 0.001, 5),
+                     [&](RateLimitResult Result) { Own = Result; });
+  CHECK(!Own);
+  Test.runFor(300ms, false);
+  CHECK(Own == RateLimitResult::Unavailable);
+  Test.runFor(400ms, true);
+  CHECK(Test.request(3, 1) == 1);
+}
+
+// Guards against probes of daemons that coordinate nothing, whose number would
+// grow with the square of the fleet.
+TEST_CASE("a daemon that coordinates no limits probes nobody") {
+  Fixture Test;
+  for (int Count = 0; Count < 20; ++Count) {
+    Test.Limiter.tick();
+    Test.runFor(20ms);
+  }
+  CHECK(Test.Peers.all<relay::ContactProbe>().empty());
+}
