--- a/src/http/internal/chunkframing.cpp
+++ b/src/http/internal/chunkframing.cpp
@@ -12,9 +12,10 @@
 /// Upper bound of the extensions of a chunk, in bytes.
 constexpr std::size_t kMaxExtensionBytes = std::size_t{4} << 10;
 constexpr unsigned kBitsPerDigit = 4;
+/// Value of the digit `a`.
+constexpr unsigned kLetterValue = 10;
 
 std::optional<unsigned> hexDigit(char C) {
-  constexpr unsigned kLetterValue = 10;
   if (C >= '0' && C <= '9')
     return static_cast<unsigned>(C - '0');
   if (C >= 'a' && C <= 'f')
--- a/tests/process/framingtest.cpp
+++ b/tests/process/framingtest.cpp
@@ -21,11 +21,13 @@
     return Request.substr(0, Request.find('\r')).find(Name) !=
            std::string::npos;
   };
-  const std::string Version = Chooses("old") ? "HTTP/1.0 " : "HTTP/1.1 ";
+  std::string Version = Chooses("old") ? "HTTP/1.0 " : "HTTP/1.1 ";
   const std::string Ok = Version + "200 OK\r\n";
   for (const char *Invalid : {"000", "099", "600", "999", "1000"})
     if (Chooses(Invalid))
-      return Version + Invalid + " OK\r\nContent-Length: 300\r\n\r\n" + kPart;
+      return Version.append(Invalid)
+          .append(" OK\r\nContent-Length: 300\r\n\r\n")
+          .append(kPart);
   if (Chooses("204"))
     return Version + "204 No Content\r\n\r\n";
   if (Chooses("304"))
