--- a/src/ratelimit/coordinatortable.h
+++ b/src/ratelimit/coordinatortable.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -42,11 +41,6 @@
   /// coordinated.
   void remove(const base::InstanceId &Instance);
 
-  /// At most `Count` different daemons other than `Excluded`, chosen at random.
-  std::vector<CoordinatorCandidate> sample(std::size_t Count,
-                                           const base::InstanceId &Excluded,
-                                           std::mt19937 &Random) const;
-
   /// Number of reachable daemons.
   std::size_t size() const { return Candidates.size(); }
 
--- a/src/ratelimit/dividedlimits.h
+++ b/src/ratelimit/dividedlimits.h
@@ -137,8 +137,8 @@
     std::chrono::milliseconds(300);
 
 /// Time in which most daemons learn of a new coordinator. A coordinator that is
-/// stopping knows of the change at once, and one that is isolated stops
-/// granting before (`kContactLifetime`).
+/// stopping knows of the change at once, and one that is isolated reaches no
+/// majority.
 inline constexpr base::Duration kCoordinatorDelay =
     std::chrono::milliseconds(500);
 
--- a/src/ratelimit/internal/coordinatortable.cpp
+++ b/src/ratelimit/internal/coordinatortable.cpp
@@ -52,25 +52,6 @@
       select(Index);
 }
 
-std::vector<CoordinatorCandidate>
-CoordinatorTable::sample(std::size_t Count, const base::InstanceId &Excluded,
-                         std::mt19937 &Random) const {
-  std::vector<CoordinatorCandidate> Result;
-  std::size_t Seen = 0;
-  for (const auto &[Instance, Each] : Candidates) {
-    if (Instance == Excluded)
-      continue;
-    // Reservoir sampling: each one has the same chance.
-    if (Result.size() < Count) {
-      Result.push_back(Each.Candidate);
-    } else if (const std::size_t Place = Random() % (Seen + 1); Place < Count) {
-      Result[Place] = Each.Candidate;
-    }
-    ++Seen;
-  }
-  return Result;
-}
-
 void CoordinatorTable::select(std::size_t Index) {
   Group Best;
   Best.Changed = true;
--- a/src/relay/fleetratelimiter.h
+++ b/src/relay/fleetratelimiter.h
@@ -4,7 +4,6 @@
 #include "config/fleetpolicy.h"
 #include "eventloop/eventloop.h"
 #include "membership/membertable.h"
-#include "ratelimit/contactsampler.h"
 #include "ratelimit/coordinatortable.h"
 #include "ratelimit/dividedlimits.h"
 #include "relay/permitmessages.h"
@@ -17,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -27,9 +25,7 @@
 /// from this daemon's own share, and requests permits from the workspace's
 /// limit coordinator when the share is used up. A rendezvous hash over the
 /// reachable members selects the coordinators. A daemon that does not reach a
-/// majority of the fleet uses no coordinator, since the majority has one. A
-/// coordinator that is not in contact with the fleet grants nothing; see
-/// `ratelimit::ContactSampler`.
+/// majority of the fleet uses no coordinator, since the majority has one.
 ///
 /// Permits are exchanged in datagrams, so a daemon needs no connection to a
 /// coordinator. A permit that is lost on the way, or arrives late, is lost
@@ -127,12 +123,6 @@
   void setWorkspaces(Group &Target, std::vector<base::WorkspaceName> Names);
   void applyOwnRole(const Group &Target);
   void logChange(Group &Target);
-  /// Whether this daemon is the coordinator of a workspace that has a limit.
-  bool coordinatesLimits() const;
-  void probeContact();
-  /// Whether this daemon may grant permits of the groups that it coordinates.
-  bool inContact() const;
-  void logContact();
 
   Group &groupOf(const base::WorkspaceName &Workspace);
   /// The limit coordinator of a group; null if there is none or no majority.
@@ -162,8 +152,6 @@
   void onMessage(const base::Endpoint &From, const PermitRequest &Request);
   void onMessage(const base::Endpoint &From, const PermitGrant &Grant);
   void onMessage(const base::Endpoint &From, const PermitReturn &Returned);
-  void onMessage(const base::Endpoint &From, const ContactProbe &Probe);
-  void onMessage(const base::Endpoint &From, const ContactReply &Reply);
   PermitMessageId nextId();
   void send(const base::Endpoint &To, const PermitMessage &Message);
 
@@ -180,10 +168,6 @@
   /// Number of announced daemons, whether reachable or not.
   std::size_t DaemonCount = 1;
   bool Majority = false;
-  ratelimit::ContactSampler Contact;
-  /// The state of contact that the log names.
-  bool LoggedContact = true;
-  std::mt19937 Random;
   std::unordered_map<base::WorkspaceName, PendingRequest> PendingRequests;
   std::unordered_map<std::uint64_t, base::WorkspaceName> WorkspaceByRequest;
   /// By address; one entry for each address that a daemon has had.
--- a/src/relay/internal/fleetratelimiter.cpp
+++ b/src/relay/internal/fleetratelimiter.cpp
@@ -53,8 +53,7 @@
                                    bool FirstStart, SilentListener OnSilent)
     : Loop(Loop), Metrics(Metrics), Log(Log), Peers(Peers), Self(Self),
       Limits(Loop.clock(), Tolerance, FirstStart),
-      OnSilent(std::move(OnSilent)), Contact(Loop.clock()),
-      Random(std::random_device()()) {}
+      OnSilent(std::move(OnSilent)) {}
 
 void FleetRateLimiter::setPolicy(config::FleetPolicyPtr NewPolicy) {
   Policy = std::move(NewPolicy);
@@ -82,40 +81,6 @@
   for (Group &Each : Groups)
     if (Each.LogAt && Now >= *Each.LogAt)
       logChange(Each);
-  if (!coordinatesLimits())
-    return;
-  if (Contact.due())
-    probeContact();
-  logContact();
-}
-
-bool FleetRateLimiter::coordinatesLimits() const {
-  return std::any_of(Groups.begin(), Groups.end(), [this](const Group &Each) {
-    const auto *Coordinator = coordinatorOf(Each);
-    return Coordinator != nullptr && !Each.Workspaces.empty() &&
-           Coordinator->Process.Instance == Self.Instance;
-  });
-}
-
-void FleetRateLimiter::probeContact() {
-  for (const ratelimit::CoordinatorCandidate &Each :
-       Coordinators.sample(ratelimit::kContactProbes, Self.Instance, Random)) {
-    const PermitMessageId Id = nextId();
-    Contact.onProbeSent(Id.Number);
-    send(Each.Peer, ContactProbe{Id});
-  }
-}
-
-bool FleetRateLimiter::inContact() const {
-  return DaemonCount <= 1 || Contact.inContact();
-}
-
-void FleetRateLimiter::logContact() {
-  if (std::exchange(LoggedContact, inContact()) == LoggedContact)
-    return;
-  Log.state(LoggedContact ? "limit_keeper_in_contact"
-                          : "limit_keeper_out_of_contact",
-            {{"reachable", Coordinators.size()}, {"announced", DaemonCount}});
 }
 
 void FleetRateLimiter::applyChanges(
@@ -238,13 +203,9 @@
   const auto *Coordinator = coordinatorOf(groupOf(Workspace));
   Pending.SentTo =
       Coordinator != nullptr ? Coordinator->Process : base::ProcessId();
-  const bool IsOwn = Pending.SentTo.Instance == Self.Instance;
-  if (IsOwn && inContact())
+  if (Pending.SentTo.Instance == Self.Instance)
     return grantOwnPermits(Workspace, Pending);
-  // Out of contact, the request waits a little for a reply to a probe.
-  if (IsOwn)
-    Pending.SentTo = {};
-  else if (Coordinator != nullptr)
+  if (Coordinator != nullptr)
     sendRequest(Workspace, Pending);
   Pending.Timer = Loop.startTimer(
       Coordinator != nullptr ? kRepeatDelay : kPermitTimeout,
@@ -405,11 +366,6 @@
                                  const PermitRequest &Request) {
   if (!isNew(From, Request.Id))
     return;
-  // The sender tries again, and then elsewhere.
-  if (!inContact()) {
-    Metrics.counter("permit_requests_out_of_contact_total").add();
-    return;
-  }
   PermitGrant Grant{Request.Id, 0};
   if (const config::WorkspacePolicy *Known = policyOf(Request.Workspace)) {
     if (Request.ReplacedAgoMicros > 0)
@@ -450,17 +406,6 @@
     Limits.returnPermits(Known->Name, limitOf(*Known), Returned.Count);
 }
 
-void FleetRateLimiter::onMessage(const base::Endpoint &From,
-                                 const ContactProbe &Probe) {
-  send(From, ContactReply{Probe.Id});
-}
-
-void FleetRateLimiter::onMessage(const base::Endpoint &,
-                                 const ContactReply &Reply) {
-  if (Reply.Id.Process == Self.Incarnation)
-    Contact.onReply(Reply.Id.Number);
-}
-
 PermitMessageId FleetRateLimiter::nextId() {
   return {Self.Incarnation, ++LastNumber};
 }
--- a/src/relay/internal/permitmessages.cpp
+++ b/src/relay/internal/permitmessages.cpp
@@ -45,10 +45,6 @@
     return decodeAs<PermitGrant>(Body);
   case 2:
     return decodeAs<PermitReturn>(Body);
-  case 3:
-    return decodeAs<ContactProbe>(Body);
-  case 4:
-    return decodeAs<ContactReply>(Body);
   default:
     return std::nullopt;
   }
--- a/src/relay/permitmessages.h
+++ b/src/relay/permitmessages.h
@@ -55,23 +55,7 @@
   }
 };
 
-/// Asks for a reply, by which a limit coordinator knows that it is in contact.
-struct ContactProbe {
-  PermitMessageId Id;
-
-  template <class Archive> void serialize(Archive &Ar) { Ar(Id); }
-};
-
-/// Reply to a `ContactProbe`.
-struct ContactReply {
-  /// Id of the probe.
-  PermitMessageId Id;
-
-  template <class Archive> void serialize(Archive &Ar) { Ar(Id); }
-};
-
-using PermitMessage = std::variant<PermitRequest, PermitGrant, PermitReturn,
-                                   ContactProbe, ContactReply>;
+using PermitMessage = std::variant<PermitRequest, PermitGrant, PermitReturn>;
 
 /// Encodes a message as the body of a datagram. The first byte tells it from a
 /// gossip datagram.
