--- a/review/common-3/harness.h
+++ b/review/common-3/harness.h
@@ -32,6 +32,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -258,12 +259,27 @@
     std::thread([this] { acceptAll(); }).detach();
   }
 
+  /// Closes the listening socket and all connections.
+  void end() {
+    Ended = true;
+    ::shutdown(Listener, SHUT_RDWR);
+    std::lock_guard Lock(Mutex);
+    for (const int Each : Sockets)
+      ::shutdown(Each, SHUT_RDWR);
+  }
+
 private:
   void acceptAll() {
     for (;;) {
       const int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (Socket < 0)
+      if (Socket < 0 || Ended) {
+        ::close(Listener);
         return;
+      }
+      {
+        std::lock_guard Lock(Mutex);
+        Sockets.insert(Socket);
+      }
       const int On = 1;
       setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
       std::thread([this, Socket] {
@@ -271,17 +287,22 @@
         for (;;) {
           const Message Received = Connection.read(nowMs() + 600'000);
           if (!Received.Complete)
-            return;
+            break;
           const std::string Answer = Handle(Received);
-          if (Answer.empty() || !Connection.sendAll(Answer))
-            return;
+          if (Answer.empty() || Ended || !Connection.sendAll(Answer))
+            break;
         }
+        std::lock_guard Lock(Mutex);
+        Sockets.erase(Socket);
       }).detach();
     }
   }
 
   int Listener = -1;
   Handler Handle;
+  std::atomic<bool> Ended = false;
+  std::mutex Mutex;
+  std::set<int> Sockets;
 };
 
 inline std::string base64(const std::string &Text) {
@@ -531,6 +552,8 @@
   void start() {
     Http.start(Ip, Used.App,
                [this](const Message &Received) { return answer(Received); });
+    if (!SendsHeartbeats)
+      return;
     std::thread([this] {
       for (;;) {
         beat();
@@ -539,6 +562,14 @@
     }).detach();
   }
 
+  /// Ends the upstream: no connection is answered any more, requests that run
+  /// are cut.
+  void end() { Http.end(); }
+
+  std::uint64_t bornMillis() const { return Born; }
+
+  /// Off where a case sends the heartbeats itself.
+  bool SendsHeartbeats = true;
   /// Size of the body of each answer, in bytes.
   std::atomic<std::size_t> AnswerBytes = 200;
 
