--- a/review/common-3/harness.h
+++ b/review/common-3/harness.h
@@ -243,6 +243,7 @@
 
   void start(const std::string &Ip, int Port, Handler New) {
     Handle = std::move(New);
+    Ended = false;
     Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int On = 1;
     setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
@@ -566,8 +567,16 @@
   /// are cut.
   void end() { Http.end(); }
 
+  /// Listens again after `end`.
+  void startAgain() {
+    Http.start(Ip, Used.App,
+               [this](const Message &Received) { return answer(Received); });
+  }
+
   std::uint64_t bornMillis() const { return Born; }
 
+  /// States in all answers that the upstream leaves.
+  std::atomic<bool> Leaves = false;
   /// Off where a case sends the heartbeats itself.
   bool SendsHeartbeats = true;
   /// Size of the body of each answer, in bytes.
@@ -584,9 +593,11 @@
                           {{"X-Attempt-Id", Attempt}, {"X-Instance-Id", Id}});
     All.add({nowMs(), Attempt, Service, Machine, Received.header("X-Tenant")});
     sleepMs(WorkMs);
-    return makeResponse(
-        200, std::string(AnswerBytes, 'x'),
-        {{"X-Attempt-Id", Attempt}, {"X-Response-Signature", "s." + Attempt}});
+    std::vector<std::pair<std::string, std::string>> Headers{
+        {"X-Attempt-Id", Attempt}, {"X-Response-Signature", "s." + Attempt}};
+    if (Leaves)
+      Headers.emplace_back("Server-Leaving", "1");
+    return makeResponse(200, std::string(AnswerBytes, 'x'), Headers);
   }
 
   void beat() {
