Follow streams of a store that comes back from an older copy

Cause: the follower kept its position after the records that it rests on had gone, and passed over new records at offsets that were given out again. Gossip's highest offset, which never falls, and newest records whose pages were read before and after the return have the same cause.

Gossip carries the era with the offset, in the same number. The stand-in store gets copies, drills and eras.

Ruled out: raising the position only by what was delivered (the offsets that are given out again would still be passed over by the other daemons).

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -60,6 +60,20 @@
 /// record has offset 1; 0 means "before the first record".
 using LogOffset = StrongNumber<struct LogOffsetTag>;
 
+/// Number of a history of the platform's store. It rises when the store comes
+/// back from an older copy; 0 if the platform doesn't state it.
+using StoreEra = StrongNumber<struct StoreEraTag>;
+
+/// Position in a stream of a store whose offsets start anew from an older copy
+/// with each era. A position of a later era follows all of the earlier ones.
+struct StreamPosition {
+  StoreEra Era;
+  LogOffset Offset;
+
+  friend constexpr auto operator<=>(const StreamPosition &,
+                                    const StreamPosition &) = default;
+};
+
 /// IPv4 address and port, for TCP or UDP.
 struct Endpoint {
   std::string Ip;
--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -44,13 +44,43 @@
 
 void StreamFollower::startFrom(const KeyedPage &Known) { adoptNewest(Known); }
 
+void StreamFollower::startReadTimer(base::Duration Delay,
+                                    std::function<void()> Action) {
+  Loop.cancelTimer(ReadTimer);
+  ReadTimer = Loop.startTimer(Delay, std::move(Action));
+}
+
+void StreamFollower::restart() {
+  if (!Synced && NewestReads == 0)
+    return;
+  dropPosition();
+  std::uniform_int_distribution<base::Duration::rep> Delay(
+      0, Settings.RestartSpread.count());
+  startReadTimer(base::Duration(Delay(Random)), [this, Restart = Restarts] {
+    if (Restart == Restarts)
+      readNewest();
+  });
+}
+
+void StreamFollower::dropPosition() {
+  ++Restarts;
+  ++LatestRead;
+  NewestReads = 0;
+  Synced = false;
+  Position = {};
+  Listener.onHistoryReplaced();
+}
+
 void StreamFollower::readNewest() {
   ++NewestReads;
-  Store.readNewestRecords(Settings.Stream, [this, ReadId = ++LatestRead](
-                                               const StoreResult &Result) {
-    --NewestReads;
-    onNewest(ReadId, Result);
-  });
+  Store.readNewestRecords(Settings.Stream,
+                          [this, ReadId = ++LatestRead, Restart = Restarts,
+                           SentAt = Position](const StoreResult &Result) {
+                            if (Restart != Restarts)
+                              return;
+                            --NewestReads;
+                            onNewest(ReadId, SentAt, Result);
+                          });
 }
 
 void StreamFollower::readNext() { read(Settings.Timing.MaxWait); }
@@ -63,8 +93,10 @@
 void StreamFollower::read(base::Duration Wait) {
   ScheduledAfter = 0;
   Store.read(Settings.Stream, Position, Wait,
-             [this, ReadId = ++LatestRead](const StoreResult &Result) {
-               onRead(ReadId, Result);
+             [this, ReadId = ++LatestRead,
+              Restart = Restarts](const StoreResult &Result) {
+               if (Restart == Restarts)
+                 onRead(ReadId, Result);
              });
 }
 
@@ -72,7 +104,7 @@
   if (Behind || Settings.Timing.Interval <= base::Duration::zero())
     return readNext();
   ScheduledAfter = LatestRead;
-  Loop.startTimer(Settings.Timing.Interval, [this, ReadId = LatestRead] {
+  startReadTimer(Settings.Timing.Interval, [this, ReadId = LatestRead] {
     if (ReadId == ScheduledAfter)
       readNext();
   });
@@ -96,7 +128,14 @@
   readNext();
 }
 
-void StreamFollower::onNewest(std::uint64_t ReadId, const StoreResult &Result) {
+void StreamFollower::onNewest(std::uint64_t ReadId, base::LogOffset SentAt,
+                              const StoreResult &Result) {
+  // Reads are linearizable, so an end before the position that was known when
+  // the read was sent shows an older copy. That covers platforms without eras.
+  if (Result.Status == StoreStatus::Done && Result.Page.End < SentAt) {
+    dropPosition();
+    return adoptNewest(Result.Page);
+  }
   // A superseded read is still worth its records: the one after it may take as
   // long.
   if (ReadId != LatestRead) {
@@ -135,10 +174,16 @@
       deliver(Result.Page);
     return;
   }
-  if (Result.Status == StoreStatus::Gone)
+  if (Result.Status == StoreStatus::Gone) {
+    // A store that refuses the end that it has just stated is not asked without
+    // a pause.
+    if (std::exchange(GoneAfterNewest, true))
+      return retry(Result, true);
     return readNewest();
+  }
   if (Result.Status != StoreStatus::Done)
     return retry(Result, false);
+  GoneAfterNewest = false;
   deliver(Result.Page);
   scheduleNextRead();
 }
@@ -162,7 +207,7 @@
   setReachable(false, std::string(storeStatusName(Result.Status)) + ": " +
                           Result.Detail);
   const std::uint64_t ReadId = LatestRead;
-  Loop.startTimer(RetryDelay, [this, ReadId, Newest] {
+  startReadTimer(RetryDelay, [this, ReadId, Newest] {
     if (ReadId != LatestRead)
       return;
     if (Newest)
--- a/src/platformlog/keyedstore.h
+++ b/src/platformlog/keyedstore.h
@@ -50,6 +50,9 @@
   KeyedPage Page;
   /// Description of a failure for logs.
   std::string Detail;
+  /// The era that the response states, also if it is a refusal; none without a
+  /// response.
+  std::optional<base::StoreEra> Era;
 };
 
 /// Interface to the keyed streams of the platform's store. Calls are
--- a/src/platformlog/streamfollower.h
+++ b/src/platformlog/streamfollower.h
@@ -5,6 +5,7 @@
 #include "platformlog/keyedstore.h"
 
 #include <functional>
+#include <random>
 #include <string>
 
 namespace platformlog {
@@ -24,6 +25,10 @@
 struct FollowerSettings {
   std::string Stream;
   PollTiming Timing;
+  /// After the store came back from an older copy, the newest records are read
+  /// after a random part of this time, so that a large fleet doesn't read them
+  /// at once.
+  base::Duration RestartSpread{};
 };
 
 /// Receives the records and the reachability of a followed stream.
@@ -38,6 +43,11 @@
   /// Called when all records up to offset `End` have been passed to `onRecord`.
   virtual void onCaughtUp(base::LogOffset End) = 0;
 
+  /// Called when the store has come back from an older copy: records that were
+  /// passed before may be missing there, and offsets are given out again. The
+  /// newest records are passed next, of which most are known already.
+  virtual void onHistoryReplaced() = 0;
+
   /// Called after the first read and whenever the store becomes unreachable or
   /// reachable again; `Detail` gives the reason why it is unreachable.
   virtual void onReachabilityChanged(bool Reachable,
@@ -46,10 +56,18 @@
 
 /// Follows one keyed stream: reads the newest record of each key, then polls
 /// for further records. Failed reads are retried with exponential backoff.
+///
+/// If the store comes back from an older copy, the position is dropped and the
+/// newest records are read again. The store's era tells; where a platform
+/// states none, an end before the follower's position does.
 class StreamFollower {
 public:
   StreamFollower(FollowerSettings Settings, eventloop::EventLoop &Loop,
                  KeyedStore &Store, StreamListener &Listener);
+  ~StreamFollower() { Loop.cancelTimer(ReadTimer); }
+
+  StreamFollower(const StreamFollower &) = delete;
+  StreamFollower &operator=(const StreamFollower &) = delete;
 
   void start();
 
@@ -68,6 +86,14 @@
   /// nothing before the first read has completed.
   void readNow();
 
+  /// Drops the position and every read that has not completed, since the store
+  /// has come back from an older copy. Does nothing before the start.
+  void restart();
+
+  void setRestartSpread(base::Duration Spread) {
+    Settings.RestartSpread = Spread;
+  }
+
   /// Changes the timing from the next read on. If the new interval is zero, a
   /// scheduled read starts at once.
   void setPollTiming(const PollTiming &NewTiming);
@@ -76,11 +102,15 @@
   base::LogOffset position() const { return Position; }
 
 private:
+  void dropPosition();
+  /// Starts the timer of the next read instead of the one that is running.
+  void startReadTimer(base::Duration Delay, std::function<void()> Action);
   void readNewest();
   void readNext();
   void read(base::Duration Wait);
   void scheduleNextRead();
-  void onNewest(std::uint64_t ReadId, const StoreResult &Result);
+  void onNewest(std::uint64_t ReadId, base::LogOffset SentAt,
+                const StoreResult &Result);
   void adoptNewest(const KeyedPage &Page);
   void deliverNewest(KeyedPage Page);
   void onRead(std::uint64_t ReadId, const StoreResult &Result);
@@ -98,6 +128,7 @@
   /// superseded.
   std::uint64_t LatestRead = 0;
   base::Duration RetryDelay;
+  eventloop::TimerId ReadTimer;
   /// The read after which the next one is scheduled; 0 if none is scheduled.
   std::uint64_t ScheduledAfter = 0;
   /// Earliest time of the next read that `catchUpTo` may start.
@@ -110,6 +141,12 @@
   bool Synced = false;
   /// Reads of the newest records that have not completed.
   int NewestReads = 0;
+  /// Counts restarts. Reads of before the last one are ignored.
+  std::uint64_t Restarts = 0;
+  /// The store didn't have the records behind the newest ones that were read
+  /// last.
+  bool GoneAfterNewest = false;
+  std::mt19937_64 Random{std::random_device{}()};
 };
 
 } // namespace platformlog
--- a/src/platformlog/tests/streamfollowertest.cpp
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -35,7 +35,7 @@
   void read(const std::string &, base::LogOffset After, base::Duration Wait,
             Callback Done) override {
     ++Calls;
-    if (After < FirstReadable) {
+    if (After < FirstReadable || After.value() > End) {
       platformlog::StoreResult Gone;
       Gone.Status = platformlog::StoreStatus::Gone;
       Loop.post([Gone, Done = std::move(Done)] { Done(Gone); });
@@ -54,6 +54,14 @@
   void append(const std::string &, const platformlog::KeyedRecord &,
               std::optional<base::LogOffset>, Callback) override {}
 
+  /// Goes back to the first `Count` records.
+  void truncate(std::uint64_t Count) {
+    End = Count;
+    std::erase_if(Records, [Count](const platformlog::KeyedRecord &Each) {
+      return Each.Offset.value() > Count;
+    });
+  }
+
   void addRecord(const std::string &Key) {
     Records.push_back({base::LogOffset(++End), Key, "value"});
   }
@@ -96,6 +104,7 @@
     ReceivedKeys.push_back(Record.Key);
   }
   void onCaughtUp(base::LogOffset) override {}
+  void onHistoryReplaced() override { ++Replacements; }
   void onReachabilityChanged(bool, const std::string &) override {}
 
   void runFor(base::Duration Length) {
@@ -107,6 +116,7 @@
   eventloop::EventLoop Loop{Clock};
   CountingStore Store{Loop};
   std::vector<std::string> ReceivedKeys;
+  int Replacements = 0;
 };
 
 } // namespace
@@ -233,3 +243,61 @@
   CHECK(ReceivedKeys == std::vector<std::string>{"a", "b", "c"});
   CHECK(Follower.position() == base::LogOffset(3));
 }
+
+// Guards against records that are passed over because their offsets were given
+// out before, on a platform that states no eras; and against reads of an end
+// that the store no longer has, one after the other without a pause.
+TEST_CASE_FIXTURE(Fixture, "a follower starts over if the stream ends before "
+                           "its position") {
+  for (const char *Key : {"a", "b", "c"})
+    Store.addRecord(Key);
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Follower.start();
+  runFor(20ms);
+  Store.truncate(1);
+  Follower.readNow();
+  runFor(20ms);
+  CHECK(Replacements == 1);
+  CHECK(Store.Calls <= 6);
+  ReceivedKeys.clear();
+  Store.addRecord("d");
+  Follower.readNow();
+  runFor(20ms);
+  CHECK(ReceivedKeys == std::vector<std::string>{"d"});
+  CHECK(Follower.position() == base::LogOffset(2));
+}
+
+// Guards against a position of before a restart that a late response brings
+// back.
+TEST_CASE_FIXTURE(Fixture, "reads of before a restart are ignored") {
+  Store.addRecord("a");
+  Store.addRecord("b");
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Store.NewestDelay = 40ms;
+  Follower.start();
+  SUBCASE("while the newest records are read") { runFor(20ms); }
+  SUBCASE("after they have been read") { runFor(60ms); }
+  Store.truncate(1);
+  Follower.restart();
+  runFor(10ms);
+  Follower.restart();
+  ReceivedKeys.clear();
+  runFor(60ms);
+  CHECK(Follower.position() == base::LogOffset(1));
+  CHECK(ReceivedKeys == std::vector<std::string>{"a"});
+}
+
+// Guards against a follower that asks a store without a pause which refuses the
+// end that it states.
+TEST_CASE_FIXTURE(Fixture, "a store that refuses its own end is asked with "
+                           "pauses") {
+  Store.addRecord("a");
+  platformlog::StreamFollower Follower({"keyed.s", {100ms, 0s}}, Loop, Store,
+                                       *this);
+  Store.FirstReadable = base::LogOffset(9);
+  Follower.start();
+  runFor(300ms);
+  CHECK(Store.Calls <= 16);
+}
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -1,5 +1,6 @@
 #include "relay/daemon.h"
 
+#include "platformlog/eratrackingstore.h"
 #include "relay/callcorrelator.h"
 #include "relay/callexecutor.h"
 #include "relay/callsender.h"
@@ -15,6 +16,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <random>
 #include <utility>
@@ -33,6 +35,9 @@
 /// of an update from it or by gossip.
 constexpr platformlog::PollTiming kLogReaderPollTiming{400ms, 0s};
 constexpr platformlog::PollTiming kDefaultPollTiming{0s, 30s};
+/// Follows every offset of a stream.
+constexpr base::LogOffset kEndOfStream{
+    std::numeric_limits<std::uint64_t>::max()};
 /// Delay before the transport is started again, for example because the port
 /// was in use.
 constexpr base::Duration kRestartDelay = 500ms;
@@ -49,11 +54,15 @@
                  base::MetricsRegistry &Metrics, StructuredLog &Log,
                  platformlog::KeyedStore &Store, const PolicyParser &Parser)
       : Settings(std::move(Settings)), Loop(Loop), Metrics(Metrics), Log(Log),
-        Store(Store), Parser(Parser), Inbox(Loop, *this),
-        SecretLoader(Loop, Store, Log, this->Settings.Instance,
+        Store(Store, Metrics,
+              [this](base::StoreEra From, base::StoreEra To) {
+                onStoreEraRaised(From, To);
+              }),
+        Parser(Parser), Inbox(Loop, *this),
+        SecretLoader(Loop, this->Store, Log, this->Settings.Instance,
                      this->Settings.FirstStart),
         PolicyFollower({this->Settings.PolicyStream, kDefaultPollTiming}, Loop,
-                       Store, *this) {}
+                       this->Store, *this) {}
 
   ~Implementation() override {
     Loop.cancelTimer(TickTimer);
@@ -65,6 +74,9 @@
   void resumeStop();
   void tick();
   void applyPolicy(const config::FleetPolicyContent &Content);
+  void onStoreEraRaised(base::StoreEra From, base::StoreEra To);
+  /// Reads the policy stream if another daemon has read further.
+  void catchUpWithPeers();
 
   // http::AsyncHandler
   void onRequest(http::AsyncServer &Server, http::ExchangeId Id,
@@ -93,7 +105,14 @@
   // platformlog::StreamListener
   void onRecord(const platformlog::KeyedRecord &Record) override;
   void onCaughtUp(base::LogOffset End) override {
-    Discovery->onPolicyRead(End);
+    Discovery->onPolicyRead({Store.era(), End});
+  }
+  void onHistoryReplaced() override {
+    Log.state("policy_read_again",
+              {{"stream", Settings.PolicyStream},
+               {"era", Store.era().value()},
+               {"version",
+                Entry->policy() ? Entry->policy()->version().value() : 0}});
   }
   void onReachabilityChanged(bool Reachable,
                              const std::string &Detail) override {
@@ -105,7 +124,7 @@
   eventloop::EventLoop &Loop;
   base::MetricsRegistry &Metrics;
   StructuredLog &Log;
-  platformlog::KeyedStore &Store;
+  platformlog::EraTrackingStore Store;
   const PolicyParser &Parser;
   PeerInbox Inbox;
   FleetSecretLoader SecretLoader;
@@ -223,7 +242,7 @@
   Calls->tick();
   Executor->tick();
   Discovery->tick();
-  PolicyFollower.catchUpTo(Discovery->highestPolicyOffset());
+  catchUpWithPeers();
   if (Discovery->takeOverReading())
     PolicyFollower.readNow();
   PolicyFollower.setPollTiming(Discovery->isLogReader() ? kLogReaderPollTiming
@@ -234,6 +253,28 @@
   Limiter->tick();
 }
 
+/// Policies, keys and members that are known stay in use until the store states
+/// something newer. Only positions are dropped.
+void Daemon::Implementation::onStoreEraRaised(base::StoreEra From,
+                                              base::StoreEra To) {
+  Log.state("store_era_raised",
+            {{"from", From.value()},
+             {"to", To.value()},
+             {"policy_position", PolicyFollower.position().value()}});
+  PolicyFollower.restart();
+  if (Discovery)
+    Discovery->onStoreEraRaised();
+}
+
+void Daemon::Implementation::catchUpWithPeers() {
+  const base::StreamPosition Highest = Discovery->highestPolicyPosition();
+  // A read tells this daemon of an era that others have seen.
+  if (Highest.Era > Store.era())
+    PolicyFollower.catchUpTo(kEndOfStream);
+  else if (Highest.Era == Store.era())
+    PolicyFollower.catchUpTo(Highest.Offset);
+}
+
 void Daemon::Implementation::onRequest(http::AsyncServer &Server,
                                        http::ExchangeId Id,
                                        http::Request Received) {
--- a/src/relay/internal/peerdiscovery.cpp
+++ b/src/relay/internal/peerdiscovery.cpp
@@ -34,6 +34,21 @@
                                     kMinPollInterval, kMaxPollInterval);
 }
 
+/// Gossip carries one number for the position in the policy stream: the era in
+/// the upper bits, the offset in the lower ones.
+constexpr unsigned kOffsetBits = 40;
+constexpr std::uint64_t kMaxOffset = (std::uint64_t{1} << kOffsetBits) - 1;
+
+base::LogOffset packPosition(const base::StreamPosition &Position) {
+  return base::LogOffset(Position.Era.value() << kOffsetBits |
+                         std::min(Position.Offset.value(), kMaxOffset));
+}
+
+base::StreamPosition unpackPosition(base::LogOffset Packed) {
+  return {base::StoreEra(Packed.value() >> kOffsetBits),
+          base::LogOffset(Packed.value() & kMaxOffset)};
+}
+
 } // namespace
 
 std::string announcementKey(const base::InstanceId &Instance) {
@@ -145,9 +160,15 @@
   OnChange(Gossip.members(), Changed);
 }
 
-void PeerDiscovery::onPolicyRead(base::LogOffset End) {
+void PeerDiscovery::onStoreEraRaised() { Follower.restart(); }
+
+base::StreamPosition PeerDiscovery::highestPolicyPosition() const {
+  return unpackPosition(Gossip.members().highestOffset());
+}
+
+void PeerDiscovery::onPolicyRead(const base::StreamPosition &End) {
   ReaderRole.onOwnRead();
-  send(Gossip.setAppliedOffset(End));
+  send(Gossip.setAppliedOffset(packPosition(End)));
   if (ReaderRole.isReader())
     send(Gossip.confirmOffset());
 }
@@ -167,7 +188,7 @@
        {"last_read_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                             ReaderRole.timeSinceRead())
                             .count()},
-       {"offset", Gossip.members().highestOffset().value()},
+       {"offset", highestPolicyPosition().Offset.value()},
        {"why", Reason}});
 }
 
--- a/src/relay/peerdiscovery.h
+++ b/src/relay/peerdiscovery.h
@@ -54,14 +54,16 @@
   /// from it again.
   void reportSilent(const base::ProcessId &Process);
 
+  /// Reads the announcements again, since the store has come back from an older
+  /// copy.
+  void onStoreEraRaised();
+
   /// Gossips how far this daemon has read the policy stream, and that this was
   /// just now its end.
-  void onPolicyRead(base::LogOffset End);
+  void onPolicyRead(const base::StreamPosition &End);
 
-  /// Highest offset of the policy stream that any member has read.
-  base::LogOffset highestPolicyOffset() const {
-    return Gossip.members().highestOffset();
-  }
+  /// Highest position in the policy stream that any member has read to.
+  base::StreamPosition highestPolicyPosition() const;
 
   /// Whether this daemon reads the policy stream for its data centre.
   bool isLogReader() const { return ReaderRole.isReader(); }
@@ -82,6 +84,7 @@
 private:
   void onRecord(const platformlog::KeyedRecord &Record) override;
   void onCaughtUp(base::LogOffset) override;
+  void onHistoryReplaced() override {}
   void onReachabilityChanged(bool Reachable,
                              const std::string &Detail) override;
   void announce();
--- a/src/relay/tests/policyupdatetest.cpp
+++ b/src/relay/tests/policyupdatetest.cpp
@@ -53,6 +53,13 @@
     return Loop.clock().now() - Published;
   }
 
+  /// The store goes back to its last copy. The operator then writes the newest
+  /// policy again.
+  void returnToCopy(std::uint64_t Newest) {
+    Fleet.store().returnToCopy();
+    Fleet.put(policy(Newest));
+  }
+
   ScriptedBackend Server{[](const std::string &Request) {
     return ScriptedBackend::Reaction{successFor(Request)};
   }};
@@ -97,3 +104,48 @@
     Fleet.runFor(1s);
   }
 }
+
+// Guards against daemons that keep their position in a stream after the store
+// has come back from an older copy, and so pass over the next policies, whose
+// offsets they believe to have read.
+TEST_CASE_FIXTURE(Fixture, "a policy is adopted in time after the store came "
+                           "back from an older copy") {
+  Fleet.store().saveCopy();
+  Fleet.runFor(100ms);
+  std::uint64_t Version = 1;
+  for (; Version < 4; ++Version)
+    adoptionTime(Version + 1, {});
+  returnToCopy(Version);
+  SUBCASE("once") {}
+  SUBCASE("twice in a row") {
+    Fleet.runFor(50ms);
+    returnToCopy(Version);
+  }
+  SUBCASE("twice, with policies in between") {
+    Fleet.runFor(2s);
+    for (int Count = 0; Count < 6; ++Count)
+      adoptionTime(++Version, {});
+    returnToCopy(Version);
+  }
+  SUBCASE("while a daemon is cut off from the store") {
+    Fleet.cutStore(0, true);
+    returnToCopy(Version);
+    Fleet.runFor(2s);
+    Fleet.cutStore(0, false);
+  }
+  Fleet.runFor(2s);
+  CHECK(adoptionTime(++Version, {}) < kAdoptionLimit);
+  CHECK(adoptionTime(++Version, {}) < kAdoptionLimit);
+}
+
+// Guards against daemons that go back to the policy of an older copy of the
+// store, which lacks a later one with a withdrawn route.
+TEST_CASE_FIXTURE(Fixture, "a daemon keeps its policy while the store has only "
+                           "an older one") {
+  Fleet.store().saveCopy();
+  adoptionTime(2, {});
+  Fleet.store().returnToCopy();
+  Fleet.runFor(2s);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    CHECK(hasAdopted(Index, 2));
+}
--- a/src/relay/tests/testfleet.cpp
+++ b/src/relay/tests/testfleet.cpp
@@ -43,10 +43,31 @@
   return Result;
 }
 
+void MemoryStore::returnToCopy() {
+  Streams = Copy;
+  ++Era;
+}
+
+std::vector<std::string> MemoryStore::valuesOf(const std::string &Stream,
+                                               const std::string &Key) const {
+  std::vector<std::string> Result;
+  for (const platformlog::KeyedRecord &Each : after(Stream, {}))
+    if (Each.Key == Key)
+      Result.push_back(Each.Value.value_or(""));
+  return Result;
+}
+
+platformlog::StoreResult
+MemoryStore::result(platformlog::StoreStatus Status) const {
+  platformlog::StoreResult Result;
+  Result.Status = Status;
+  Result.Era = base::StoreEra(Era);
+  return Result;
+}
+
 void MemoryStore::readNewestRecords(const std::string &Stream, Callback Done) {
   Loop.post([this, Stream, Done = std::move(Done)] {
-    platformlog::StoreResult Result;
-    Result.Status = platformlog::StoreStatus::Done;
+    auto Result = result(platformlog::StoreStatus::Done);
     Result.Page.Records = after(Stream, base::LogOffset(0));
     Result.Page.End = base::LogOffset(Streams[Stream].size());
     Done(std::move(Result));
@@ -63,10 +84,11 @@
   // Looking again after a delay instead of waiting for a record keeps the fake
   // store simple.
   Loop.startTimer(5ms, [this, Stream, After, Until, Done = std::move(Done)] {
+    if (After.value() > Streams[Stream].size())
+      return Done(result(platformlog::StoreStatus::Gone));
     if (after(Stream, After).empty() && Loop.clock().now() < Until)
       return readUntil(Stream, After, Until, Done);
-    platformlog::StoreResult Result;
-    Result.Status = platformlog::StoreStatus::Done;
+    auto Result = result(platformlog::StoreStatus::Done);
     Result.Page.Records = after(Stream, After);
     Result.Page.End = base::LogOffset(Streams[Stream].size());
     Done(std::move(Result));
@@ -78,8 +100,7 @@
                          std::optional<base::LogOffset> ExpectedEnd,
                          Callback Done) {
   Loop.post([this, Stream, Record, ExpectedEnd, Done = std::move(Done)] {
-    platformlog::StoreResult Result;
-    Result.Status = platformlog::StoreStatus::Conflict;
+    auto Result = result(platformlog::StoreStatus::Conflict);
     if (!ExpectedEnd || ExpectedEnd->value() == Streams[Stream].size()) {
       put(Stream, Record.Key, Record.Value.value_or(""));
       Result.Status = platformlog::StoreStatus::Done;
@@ -191,14 +212,19 @@
 }
 
 void TestFleet::restartDaemon(std::size_t Index, std::uint32_t Slots) {
+  replaceProcess(Index, Slots);
+  waitFor([&] { return Nodes[Index]->Daemon->ready(); });
+  waitUntilConnected();
+}
+
+void TestFleet::replaceProcess(std::size_t Index, std::uint32_t Slots) {
   Node &Target = *Nodes[Index];
   Target.Callers.reset();
   Target.Daemon.reset();
   Target.Path.abandonCalls();
+  Target.Settings.FirstStart = false;
   startProcess(Target);
   report(Index, Target.ReportSequence + 1, false, Slots);
-  waitFor([&] { return Target.Daemon->ready(); });
-  waitUntilConnected();
 }
 
 void TestFleet::put(const config::FleetPolicyContent &Content) {
--- a/src/relay/tests/testfleet.h
+++ b/src/relay/tests/testfleet.h
@@ -30,7 +30,19 @@
   void put(const std::string &Stream, const std::string &Key,
            const std::string &Value);
 
+  /// Keeps a copy of all streams.
+  void saveCopy() { Copy = Streams; }
+
+  /// Goes back to the copy and raises the era. A read from an offset that the
+  /// copy doesn't have fails with `Gone`.
+  void returnToCopy();
+
+  /// Values of a key in a stream, from the oldest record to the newest.
+  std::vector<std::string> valuesOf(const std::string &Stream,
+                                    const std::string &Key) const;
+
 private:
+  platformlog::StoreResult result(platformlog::StoreStatus Status) const;
   void readUntil(const std::string &Stream, base::LogOffset After,
                  base::BootTime Until, Callback Done);
   std::vector<platformlog::KeyedRecord> after(const std::string &Stream,
@@ -38,6 +50,8 @@
 
   eventloop::EventLoop &Loop;
   std::map<std::string, std::vector<platformlog::KeyedRecord>> Streams;
+  std::map<std::string, std::vector<platformlog::KeyedRecord>> Copy;
+  std::uint64_t Era = 1;
 };
 
 /// One daemon's path to the store, which can be cut: calls then end without a
@@ -98,9 +112,14 @@
   /// its place, to which the backend server reports as ready.
   void restartDaemon(std::size_t Index, std::uint32_t Slots = 8);
 
+  /// The same without waiting until the new process is ready and connected.
+  void replaceProcess(std::size_t Index, std::uint32_t Slots = 8);
+
   /// Cuts a daemon off from the store, or connects it again.
   void cutStore(std::size_t Index, bool Cut) { Nodes[Index]->Path.Cut = Cut; }
 
+  MemoryStore &store() { return Store; }
+
   /// Publishes a policy without waiting.
   void put(const config::FleetPolicyContent &Content);
 
@@ -130,6 +149,9 @@
   std::string callerUrl(std::size_t Index) const {
     return "http://127.0.0.1:" + std::to_string(Nodes[Index]->Callers->port());
   }
+  const std::string &nameOf(std::size_t Index) const {
+    return Nodes[Index]->Name;
+  }
   relay::Daemon &daemon(std::size_t Index) { return *Nodes[Index]->Daemon; }
   http::AsyncClient &client() { return *Client; }
   base::MetricsRegistry &metrics() { return Metrics; }
