Write the fleet secret and announcements again that the store has lost

Cause: the secret and the announcements were written once and taken for good. The copy lacked them, so the daemon that started next created another secret, joined nobody and counted itself as a majority of one.

Change: after a rise each daemon writes again what is missing of its own, spread over the size of the fleet. A daemon that finds no secret waits 5 s unless the fleet starts for the first time. Secrets are ordered by era and time of creation, and the earlier one wins, so two that are in use all the same come together.

Ruled out: a conditional append of the secret (2,400 daemons that announce themselves again would make it fail each time); deriving the secret from what the operator writes (nothing there is secret).

--- a/src/node/tests/servingservicetest.cpp
+++ b/src/node/tests/servingservicetest.cpp
@@ -30,6 +30,7 @@
     return true;
   }
   void close(transport::ConnectionId) override {}
+  void changeSecret(const std::string &) override {}
   void sendDatagram(const base::Endpoint &, const std::string &) override {}
 
   bool waitForResponses(std::size_t Count) {
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -174,7 +174,7 @@
   }
   createComponents(Transport.Self);
   Inbox.open();
-  Discovery->start(Loaded.Announcements);
+  Discovery->start(Loaded);
   resumeStop();
   PolicyFollower.start();
   tick();
--- a/src/relay/internal/fleetsecretloader.cpp
+++ b/src/relay/internal/fleetsecretloader.cpp
@@ -1,14 +1,12 @@
 #include "relay/fleetsecretloader.h"
 
 #include "base/codec.h"
-#include "base/ids.h"
 #include "membership/member.h"
 #include "relay/peerdiscovery.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <utility>
 
@@ -21,20 +19,10 @@
 constexpr base::Duration kInitialBackoff = 50ms;
 constexpr base::Duration kMaxBackoff = 500ms;
 
-std::string makeSecret() {
-  std::string Text;
-  for (int Half = 0; Half < 2; ++Half) {
-    std::array<std::uint8_t, 16> Bytes{};
-    base::fillRandom(Bytes);
-    Text += base::toHex(Bytes);
-  }
-  return Text;
-}
-
 } // namespace
 
 FleetSecretLoader::FleetSecretLoader(eventloop::EventLoop &Loop,
-                                     platformlog::KeyedStore &Store,
+                                     platformlog::EraTrackingStore &Store,
                                      StructuredLog &Log,
                                      base::InstanceId Instance, bool FirstStart)
     : Loop(Loop), Store(Store), Log(Log), Instance(std::move(Instance)),
@@ -74,14 +62,30 @@
           std::max(Loaded.Incarnation,
                    base::Incarnation(Earlier->Incarnation.value() + 1));
   }
+  if (Loaded.Secret.empty() && awaitsRestore())
+    return retryLater();
   if (Loaded.Secret.empty())
     return create(Result.Page.End);
   Loaded.Announcements = Result.Page;
   OnLoaded(Loaded);
 }
 
+bool FleetSecretLoader::awaitsRestore() {
+  if (FirstStart)
+    return false;
+  const base::BootTime Now = Loop.clock().now();
+  if (!CreateAt) {
+    CreateAt = Now + kRestoreWait;
+    Log.state("secret_awaited",
+              {{"era", Store.era().value()}, {"wait_ms", kRestoreWait / 1ms}});
+  }
+  return Now < *CreateAt;
+}
+
 void FleetSecretLoader::create(base::LogOffset End) {
-  Store.append(kFleetStream, {{}, kSecretKey, makeSecret()}, End,
+  const std::string Secret =
+      makeFleetSecret(Store.era(), Loop.clock().wallNow());
+  Store.append(kFleetStream, {{}, kSecretKey, Secret}, End,
                [this](const platformlog::StoreResult &Result) {
                  using platformlog::StoreStatus;
                  // Another daemon may have created the secret first, so the one
@@ -99,6 +103,10 @@
             {{"step", Step},
              {"status", platformlog::storeStatusName(Result.Status)},
              {"detail", Result.Detail}});
+  retryLater();
+}
+
+void FleetSecretLoader::retryLater() {
   Loop.startTimer(Backoff, [this] { read(); });
   Backoff = std::min(Backoff * 2, kMaxBackoff);
 }
--- a/src/relay/internal/peerdiscovery.cpp
+++ b/src/relay/internal/peerdiscovery.cpp
@@ -25,8 +25,15 @@
 /// Interval before the first poll: by then all daemons of a fleet that starts
 /// together have been announced.
 constexpr base::Duration kFirstPollInterval = 4s;
+/// Time over which the daemons of a fleet read the announcements of a store
+/// that has come back from an older copy, and write their own again. The
+/// platform's smallest store takes 400 writes a second.
+constexpr base::Duration kRestartSpreadPerDaemon = 4ms;
+constexpr base::Duration kMinRestartSpread = 500ms;
 constexpr base::Duration kInitialAnnounceBackoff = 100ms;
 constexpr base::Duration kMaxAnnounceBackoff = 2s;
+/// Time from writing the secret to the read that checks it.
+constexpr base::Duration kSecretCheckDelay = 1s;
 
 base::Duration pollInterval(std::size_t DaemonCount) {
   return std::clamp<base::Duration>(kPollIntervalPerDaemon *
@@ -66,10 +73,63 @@
       Follower({kFleetStream, {0s, kFirstPollInterval}}, Loop, Store, *this),
       AnnounceBackoff(kInitialAnnounceBackoff) {}
 
-void PeerDiscovery::start(const platformlog::KeyedPage &Known) {
+void PeerDiscovery::start(const FleetSecret &Loaded) {
+  Secret = Loaded.Secret;
   notifyChanges();
   announce();
-  Follower.startFrom(Known);
+  Follower.startFrom(Loaded.Announcements);
+}
+
+void PeerDiscovery::onStoreEraRaised() { Follower.restart(); }
+
+void PeerDiscovery::onHistoryReplaced() {
+  StoredSecret.reset();
+  StoredOwnClaim.reset();
+  HistoryReplaced = true;
+}
+
+bool PeerDiscovery::isOwnAnnouncementStored() const {
+  const membership::Member &Own = Gossip.self();
+  return StoredOwnClaim && StoredOwnClaim->Process == Own.process() &&
+         StoredOwnClaim->State == Own.State;
+}
+
+void PeerDiscovery::restoreRecords() {
+  const bool Missing = !isOwnAnnouncementStored();
+  Log.state("announcements_read_again",
+            {{"own_written_again", Missing},
+             {"secret_missing", !StoredSecret.has_value()},
+             {"known", Announcements.size()},
+             {"offset", Follower.position().value()}});
+  if (Missing)
+    announce();
+}
+
+void PeerDiscovery::reconcileSecret() {
+  if (StoredSecret == Secret)
+    return;
+  if (StoredSecret && precedesSecret(*StoredSecret, Secret)) {
+    Secret = *StoredSecret;
+    Log.state("fleet_secret_adopted",
+              {{"why", "the one in the store was created earlier"}});
+    return Peers.changeSecret(Secret);
+  }
+  Log.state("fleet_secret_written_again",
+            {{"why", StoredSecret ? "the store has a later one"
+                                  : "the store has none"}});
+  // A failed append is repeated after the next read. The same value may be
+  // written by several daemons.
+  Store.append(
+      kFleetStream, {{}, kSecretKey, Secret}, std::nullopt,
+      [this](const platformlog::StoreResult &Result) {
+        if (Result.Status != platformlog::StoreStatus::Done)
+          Log.state("fleet_secret_not_written",
+                    {{"status", platformlog::storeStatusName(Result.Status)},
+                     {"detail", Result.Detail}});
+        Loop.cancelTimer(SecretCheckTimer);
+        SecretCheckTimer =
+            Loop.startTimer(kSecretCheckDelay, [this] { Follower.readNow(); });
+      });
 }
 
 /// Of two daemons that start together, at least one reads the announcement of
@@ -160,8 +220,6 @@
   OnChange(Gossip.members(), Changed);
 }
 
-void PeerDiscovery::onStoreEraRaised() { Follower.restart(); }
-
 base::StreamPosition PeerDiscovery::highestPolicyPosition() const {
   return unpackPosition(Gossip.members().highestOffset());
 }
@@ -198,21 +256,33 @@
       Entries.begin(), Entries.end(), [](const membership::MemberEntry &Each) {
         return Each.Record.State == membership::MemberState::Alive;
       }));
-  return std::max<std::size_t>({AnnouncedKeys.size(), Alive, 1});
+  const auto Announced = static_cast<std::size_t>(std::count_if(
+      Announcements.begin(), Announcements.end(), [](const auto &Each) {
+        return Each.second.State == membership::MemberState::Alive;
+      }));
+  return std::max<std::size_t>({Announced, Alive, 1});
 }
 
 /// After the read that follows the announcement and the first poll, the
 /// interval depends on the size of the fleet.
 void PeerDiscovery::onCaughtUp(base::LogOffset) {
+  if (std::exchange(HistoryReplaced, false))
+    restoreRecords();
+  reconcileSecret();
   if (Announced && ++ReadsSinceAnnounced >= 2)
     Follower.setPollTiming({0s, pollInterval(daemonCount())});
+  Follower.setRestartSpread(
+      std::max(kMinRestartSpread,
+               kRestartSpreadPerDaemon * static_cast<int>(daemonCount())));
 }
 
 void PeerDiscovery::onRecord(const platformlog::KeyedRecord &Record) {
+  if (Record.Key == kSecretKey)
+    StoredSecret = Record.Value;
   if (!Record.Key.starts_with(kAnnouncementPrefix))
     return;
   if (!Record.Value) {
-    AnnouncedKeys.erase(Record.Key);
+    Announcements.erase(Record.Key);
     return;
   }
   const auto Member = base::decode<membership::Member>(*Record.Value);
@@ -220,10 +290,13 @@
     Log.state("announcement_ignored", {{"key", Record.Key}});
     return;
   }
-  if (Member->State == membership::MemberState::Alive)
-    AnnouncedKeys.insert(Record.Key);
-  else
-    AnnouncedKeys.erase(Record.Key);
+  const membership::StateClaim Claim = membership::claimOf(*Member);
+  if (Member->Instance == Gossip.self().Instance)
+    StoredOwnClaim = Claim;
+  // An older copy of the store may hold an older claim.
+  const auto [Known, IsNew] = Announcements.try_emplace(Record.Key, Claim);
+  if (!IsNew && membership::supersedes(Claim, Known->second))
+    Known->second = Claim;
   Gossip.mergeAnnouncement(*Member);
 }
 
--- a/src/relay/loopbacktransport.h
+++ b/src/relay/loopbacktransport.h
@@ -46,6 +46,9 @@
       Remote.close(Connection);
   }
 
+  void changeSecret(const std::string &NewSecret) override {
+    Remote.changeSecret(NewSecret);
+  }
   void sendDatagram(const base::Endpoint &Peer,
                     const std::string &Body) override {
     Remote.sendDatagram(Peer, Body);
--- a/src/relay/meteredtransport.h
+++ b/src/relay/meteredtransport.h
@@ -40,6 +40,9 @@
   void close(transport::ConnectionId Connection) override {
     Remote.close(Connection);
   }
+  void changeSecret(const std::string &NewSecret) override {
+    Remote.changeSecret(NewSecret);
+  }
   void sendDatagram(const base::Endpoint &Peer,
                     const std::string &Body) override;
 
--- a/src/relay/peerdiscovery.h
+++ b/src/relay/peerdiscovery.h
@@ -5,12 +5,14 @@
 #include "membership/gossipprotocol.h"
 #include "platformlog/keyedstore.h"
 #include "platformlog/streamfollower.h"
+#include "relay/fleetsecret.h"
 #include "relay/logreaderrole.h"
 #include "relay/structuredlog.h"
 #include "transport/peertransport.h"
 
 #include <functional>
-#include <set>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,12 @@
 
 /// Finds the other daemons through announcements in the store and tracks their
 /// state by gossip.
+///
+/// If the store comes back from an older copy, what is known stays known, and
+/// this daemon writes its announcement and the fleet secret again if they are
+/// missing there. Daemons do so at random times, so most of them find the
+/// secret. If a daemon that knew none has created another secret meanwhile, all
+/// use the one that was created first.
 class PeerDiscovery final : private platformlog::StreamListener {
 public:
   using ChangeListener =
@@ -37,10 +45,15 @@
                 eventloop::EventLoop &Loop, StructuredLog &Log,
                 transport::PeerTransport &Peers, platformlog::KeyedStore &Store,
                 ChangeListener OnChange);
+  ~PeerDiscovery() override { Loop.cancelTimer(SecretCheckTimer); }
 
-  /// Announces this daemon and starts to follow the announcements of others.
-  /// `Known` holds those that have just been read from the store.
-  void start(const platformlog::KeyedPage &Known);
+  /// Announces this daemon and starts to follow the announcements of others,
+  /// beginning with those in `Loaded`, which have just been read.
+  void start(const FleetSecret &Loaded);
+
+  /// Reads the announcements again, since the store has come back from an older
+  /// copy.
+  void onStoreEraRaised();
 
   /// Announces to the other daemons that this one is draining.
   void announceDraining();
@@ -54,10 +67,6 @@
   /// from it again.
   void reportSilent(const base::ProcessId &Process);
 
-  /// Reads the announcements again, since the store has come back from an older
-  /// copy.
-  void onStoreEraRaised();
-
   /// Gossips how far this daemon has read the policy stream, and that this was
   /// just now its end.
   void onPolicyRead(const base::StreamPosition &End);
@@ -84,9 +93,14 @@
 private:
   void onRecord(const platformlog::KeyedRecord &Record) override;
   void onCaughtUp(base::LogOffset) override;
-  void onHistoryReplaced() override {}
+  void onHistoryReplaced() override;
   void onReachabilityChanged(bool Reachable,
                              const std::string &Detail) override;
+  /// Writes again what the store has lost.
+  void restoreRecords();
+  /// Makes the secret in the store and the one in use the same.
+  void reconcileSecret();
+  bool isOwnAnnouncementStored() const;
   void announce();
   void onAnnounced();
   void send(const std::vector<membership::OutgoingDatagram> &Datagrams);
@@ -103,7 +117,15 @@
   membership::GossipProtocol Gossip;
   LogReaderRole ReaderRole;
   platformlog::StreamFollower Follower;
-  std::set<std::string> AnnouncedKeys;
+  /// The newest claim of each announced daemon.
+  std::map<std::string, membership::StateClaim> Announcements;
+  std::string Secret;
+  /// Values in the store as of the last read; none if they are missing.
+  std::optional<std::string> StoredSecret;
+  eventloop::TimerId SecretCheckTimer;
+  std::optional<membership::StateClaim> StoredOwnClaim;
+  /// The store has come back from an older copy that hasn't been read yet.
+  bool HistoryReplaced = false;
   base::Duration AnnounceBackoff;
   /// This daemon's first announcement is in the store.
   bool Announced = false;
--- a/src/relay/tests/callexecutortest.cpp
+++ b/src/relay/tests/callexecutortest.cpp
@@ -20,6 +20,7 @@
     return true;
   }
   void close(transport::ConnectionId) override {}
+  void changeSecret(const std::string &) override {}
   void sendDatagram(const base::Endpoint &, const std::string &) override {}
 
   std::vector<transport::Frame> Sent;
--- a/src/relay/tests/fleetratelimitertest.cpp
+++ b/src/relay/tests/fleetratelimitertest.cpp
@@ -33,6 +33,7 @@
   }
   bool send(transport::ConnectionId, transport::Frame) override { return true; }
   void close(transport::ConnectionId) override {}
+  void changeSecret(const std::string &) override {}
   void sendDatagram(const base::Endpoint &Peer,
                     const std::string &Body) override {
     const auto Message = relay::decodePermitMessage(Body);
--- a/src/relay/tests/peerinboxtest.cpp
+++ b/src/relay/tests/peerinboxtest.cpp
@@ -32,6 +32,7 @@
     return false;
   }
   void close(transport::ConnectionId) override {}
+  void changeSecret(const std::string &) override {}
   void sendDatagram(const base::Endpoint &, const std::string &) override {}
 };
 
--- a/src/transport/internal/peertransport.cpp
+++ b/src/transport/internal/peertransport.cpp
@@ -67,6 +67,7 @@
   ConnectionId connectionTo(const base::Endpoint &Peer) override;
   bool send(ConnectionId Connection, Frame Message) override;
   void close(ConnectionId Connection) override;
+  void changeSecret(const std::string &NewSecret) override;
   void sendDatagram(const base::Endpoint &Peer,
                     const std::string &Body) override;
 
@@ -77,6 +78,8 @@
   void handleEvent(const epoll_event &Event, PendingEvents &Pending);
   void acceptAll();
   void readDatagrams();
+  DatagramCipher currentCipher();
+  std::optional<std::string> openDatagram(std::string_view Sealed);
   void onConnectionReady(ConnectionId Id, Connection &Link,
                          std::uint32_t Events, PendingEvents &Pending);
   void checkTimers(base::BootTime Now);
@@ -89,12 +92,9 @@
   ConnectionId add(Connection Link);
 
   const TransportSettings Settings;
-  const SecretPair Secrets;
   ListeningSockets Sockets;
   const base::Clock &Clock;
   PeerListener &Listener;
-  const DatagramCipher CurrentCipher;
-  const DatagramCipher PreviousCipher;
   FileDescriptor Epoll;
   FileDescriptor WakeEvent;
   base::Counter &OpenedConnections;
@@ -105,6 +105,9 @@
   base::Counter &SentDatagramBytes;
 
   std::mutex Mutex;
+  SecretPair Secrets;
+  DatagramCipher CurrentCipher;
+  DatagramCipher PreviousCipher;
   Table Connections;
   std::map<base::Endpoint, ConnectionId> Dialled;
   /// Peers with which the last handshake under the current secret failed; the
@@ -121,12 +124,8 @@
                                const base::Clock &Clock,
                                base::MetricsRegistry &Metrics,
                                PeerListener &Listener)
-    : Settings(Settings), Secrets{Settings.Secret, Settings.PreviousSecret},
-      Sockets(std::move(Sockets)), Clock(Clock), Listener(Listener),
-      CurrentCipher(Settings.Secret),
-      PreviousCipher(Settings.PreviousSecret.empty() ? Settings.Secret
-                                                     : Settings.PreviousSecret),
-      Epoll(epoll_create1(EPOLL_CLOEXEC)),
+    : Settings(Settings), Sockets(std::move(Sockets)), Clock(Clock),
+      Listener(Listener), Epoll(epoll_create1(EPOLL_CLOEXEC)),
       WakeEvent(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       OpenedConnections(Metrics.counter("peer_connections_opened_total")),
       ExpiredConnections(Metrics.counter("peer_connections_silent_total")),
@@ -134,6 +133,10 @@
       InvalidDatagrams(Metrics.counter("peer_datagrams_rejected_total")),
       OversizedDatagrams(Metrics.counter("peer_datagrams_too_long_total")),
       SentDatagramBytes(Metrics.counter("peer_datagram_bytes_sent_total")),
+      Secrets{Settings.Secret, Settings.PreviousSecret},
+      CurrentCipher(Settings.Secret),
+      PreviousCipher(Settings.PreviousSecret.empty() ? Settings.Secret
+                                                     : Settings.PreviousSecret),
       LastTimerCheck(Clock.now()) {
   updateEpoll(this->Sockets.Tcp.value(), kListenTag, false, EPOLL_CTL_ADD);
   updateEpoll(this->Sockets.Udp.value(), kDatagramTag, false, EPOLL_CTL_ADD);
@@ -185,6 +188,18 @@
   wake();
 }
 
+void EpollTransport::changeSecret(const std::string &NewSecret) {
+  std::lock_guard Lock(Mutex);
+  Secrets = {NewSecret, Secrets.Current};
+  PreviousCipher = std::exchange(CurrentCipher, DatagramCipher(NewSecret));
+  UsePreviousSecret.clear();
+}
+
+DatagramCipher EpollTransport::currentCipher() {
+  std::lock_guard Lock(Mutex);
+  return CurrentCipher;
+}
+
 void EpollTransport::sendDatagram(const base::Endpoint &Peer,
                                   const std::string &Body) {
   const auto Address = toSocketAddress(Peer);
@@ -192,7 +207,7 @@
     OversizedDatagrams.add();
     return;
   }
-  const std::string Sealed = CurrentCipher.seal(Body);
+  const std::string Sealed = currentCipher().seal(Body);
   SentDatagramBytes.add(Sealed.size());
   sendto(Sockets.Udp.value(), Sealed.data(), Sealed.size(), MSG_NOSIGNAL,
          reinterpret_cast<const sockaddr *>(&*Address), sizeof(*Address));
@@ -258,6 +273,13 @@
   }
 }
 
+std::optional<std::string>
+EpollTransport::openDatagram(std::string_view Sealed) {
+  std::lock_guard Lock(Mutex);
+  auto Body = CurrentCipher.open(Sealed);
+  return Body ? Body : PreviousCipher.open(Sealed);
+}
+
 void EpollTransport::readDatagrams() {
   std::array<char, 2048> Buffer;
   for (;;) {
@@ -270,9 +292,7 @@
       return;
     const std::string_view Sealed(Buffer.data(),
                                   static_cast<std::size_t>(Count));
-    auto Body = CurrentCipher.open(Sealed);
-    if (!Body)
-      Body = PreviousCipher.open(Sealed);
+    auto Body = openDatagram(Sealed);
     if (!Body) {
       InvalidDatagrams.add();
       continue;
--- a/src/transport/peertransport.h
+++ b/src/transport/peertransport.h
@@ -65,6 +65,10 @@
   /// Closes a connection; `PeerListener::onClosed` is called.
   virtual void close(ConnectionId Connection) = 0;
 
+  /// Uses another secret from now on. The one before is still accepted, and
+  /// open connections stay open.
+  virtual void changeSecret(const std::string &NewSecret) = 0;
+
   /// Sends a datagram without any guarantee of delivery. Bodies larger than
   /// `kMaxDatagramBytes` are dropped and counted.
   virtual void sendDatagram(const base::Endpoint &Peer,
