Keep what a server said of processes that aren't known yet

Cause: the daemon acknowledged messages about other processes of its server than the one it knew, and dropped them: a deregistration before the first report, and every report of a process with an earlier start time. One cause, so one change for both.

Change: LocalServerState keeps the other processes and the deregistrations, and states the order of all messages in one place.

Ruled out: refusing such reports (the server then ends without an acknowledgement); ordering by the time of arrival (a late report of an earlier process would replace the current one); converting start times by the daemon's own clock (it may have started after the step).

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -57,6 +57,9 @@
   /// Advances the monotonic and the wall-clock time by `Step`.
   void advance(Duration Step);
 
+  /// Moves only the wall-clock time, forward or backward.
+  void stepWall(Duration Step);
+
 private:
   mutable std::mutex Mutex;
   BootTime Boot;
--- a/src/base/internal/clock.cpp
+++ b/src/base/internal/clock.cpp
@@ -30,6 +30,11 @@
   return Wall;
 }
 
+void ManualClock::stepWall(Duration Step) {
+  std::lock_guard Lock(Mutex);
+  Wall += std::chrono::duration_cast<WallTime::duration>(Step);
+}
+
 void ManualClock::advance(Duration Step) {
   std::lock_guard Lock(Mutex);
   Boot += Step;
--- a/src/relay/internal/callexecutor.cpp
+++ b/src/relay/internal/callexecutor.cpp
@@ -111,16 +111,25 @@
 }
 
 ReportResult CallExecutor::onServerReport(const ServerReport &Received) {
-  const bool SameProcess = Server.isCurrent(Received.Server);
+  const ServerReport *Latest = Server.latestReport();
+  const ServerIncarnation Before =
+      Latest != nullptr ? Latest->Server : ServerIncarnation();
   const ReportResult Result = Server.apply(Received);
+  if (Result == ReportResult::Undecided)
+    Log.state("server_report_undecided",
+              {{"server", Received.Server.Id},
+               {"born", Received.Server.StartTimeMillis},
+               {"sequence", Received.Sequence},
+               {"current", Before.Id},
+               {"current_born", Before.StartTimeMillis}});
   if (Result != ReportResult::Changed)
     return Result;
-  if (!SameProcess) {
+  if (!Server.isCurrent(Before)) {
     RateLimit.reset();
     Failures.reset();
   }
   logServer();
-  replaceLimit(Received.Slots);
+  replaceLimit(Server.latestReport()->Slots);
   if (Server.available())
     startQueuedCalls();
   else
@@ -129,8 +138,10 @@
 }
 
 bool CallExecutor::onServerLeaving(const std::string &Id) {
-  if (!Server.markLeaving(Id))
+  if (!Server.markLeaving(Id)) {
+    Log.state("server_deregistered", {{"server", Id}, {"current", false}});
     return false;
+  }
   stopUsingServer("deregistered");
   return true;
 }
@@ -162,8 +173,12 @@
 void CallExecutor::onServerReminder(transport::ConnectionId From,
                                     const ServerReminder &Reminder) {
   Notices.onReminder(From);
-  if (!Server.isCurrent(Reminder.Server))
+  if (!Server.isCurrent(Reminder.Server)) {
+    // The first report of that process may be on its way.
+    if (Reminder.Leaving)
+      Server.markLeaving(Reminder.Server);
     return;
+  }
   if (Reminder.RateLimit)
     RateLimit.adopt(*Reminder.RateLimit);
   if (Reminder.Leaving)
--- a/src/relay/internal/daemon.cpp
+++ b/src/relay/internal/daemon.cpp
@@ -142,7 +142,7 @@
   std::unique_ptr<EntryHandler> Entry;
   eventloop::TimerId TickTimer;
   /// Reports of the backend server from before this daemon joined the fleet.
-  LocalServerState InitialServerState;
+  LocalServerState InitialServerState{Loop.clock()};
   // Steps of a stop, which may begin before this daemon joins the fleet.
   bool Draining = false;
   struct StopLimits {
--- a/src/relay/tests/callexecutortest.cpp
+++ b/src/relay/tests/callexecutortest.cpp
@@ -26,12 +26,12 @@
   std::vector<transport::Frame> Sent;
 };
 
-relay::LocalServerState reportedServer() {
+relay::LocalServerState reportedServer(const base::Clock &Clock) {
   relay::ServerReport Report;
   Report.Server = {"server", 1};
   Report.Sequence = 1;
   Report.Slots = 1;
-  relay::LocalServerState Result;
+  relay::LocalServerState Result(Clock);
   Result.apply(Report);
   return Result;
 }
@@ -72,7 +72,7 @@
                                Log,
                                Peers,
                                Correlator,
-                               reportedServer()};
+                               reportedServer(Clock)};
 };
 
 } // namespace
