Grant permits in proportion to the daemons that use a coordinator

Cause: both sides had a coordinator that granted the whole limit, the smaller one for 7.5 s after the cut, until membership had found out that it was the smaller one (counts of permits in the log, a trial).

Change: a coordinator estimates which share of the fleet uses it, from the requests that arrive and from samples of the other daemons, and grants in that proportion while permits are scarce. Each daemon uses one coordinator, so the parts of two coordinators are together no more than the limit.

--- a/src/ratelimit/dividedlimits.h
+++ b/src/ratelimit/dividedlimits.h
@@ -82,6 +82,17 @@
   /// change.
   void setCoordinator(const base::WorkspaceName &Workspace, bool IsCoordinator);
 
+  /// As coordinator: sets the share of the fleet that uses this daemon, from 0
+  /// to 1, in proportion to which permits become available from now on.
+  void setCoordinatedShare(const base::WorkspaceName &Workspace,
+                           const RateAndBurst &Limit, double Share);
+
+  /// As coordinator: whether the workspace uses so much of its limit that the
+  /// share of the fleet matters: from a refusal, or from when less than half of
+  /// the burst is left, until all of it is.
+  bool isScarce(const base::WorkspaceName &Workspace,
+                const RateAndBurst &Limit);
+
   /// As coordinator: another daemon may have granted permits until `Since` ago,
   /// so only what has become available since then is left.
   void onOtherCoordinator(const base::WorkspaceName &Workspace,
@@ -104,6 +115,9 @@
     base::BootTime PermitsExpireAt;
     bool IsCoordinator = false;
     base::BootTime GrantsFrom;
+    double CoordinatedShare = 1;
+    bool Scarce = false;
+    base::BootTime ScarceAt;
   };
 
   /// Whether a coordinator that was chosen at this time has no predecessor that
@@ -122,6 +136,10 @@
   /// grants it.
   RateAndBurst coordinatorPart(const RateAndBurst &Total) const;
   void refill(Bucket &Target, const RateAndBurst &Limit) const;
+  void markScarce(WorkspaceState &State) const;
+  /// Refills the bucket of a coordinator and returns its limit.
+  RateAndBurst refillCoordinated(WorkspaceState &State,
+                                 const RateAndBurst &Limit) const;
 
   const base::Clock &Clock;
   const LimitTolerance Tolerance;
@@ -137,8 +155,8 @@
     std::chrono::milliseconds(300);
 
 /// Time in which most daemons learn of a new coordinator. A coordinator that is
-/// stopping knows of the change at once, and one that is isolated reaches no
-/// majority.
+/// stopping knows of the change at once, and one that the others no longer use
+/// grants in proportion to those that do.
 inline constexpr base::Duration kCoordinatorDelay =
     std::chrono::milliseconds(500);
 
--- a/src/ratelimit/internal/dividedlimits.cpp
+++ b/src/ratelimit/internal/dividedlimits.cpp
@@ -19,6 +19,13 @@
 /// A share with a smaller burst would refuse single requests at random, so such
 /// a limit is not divided at all.
 constexpr double kMinShareBurst = 2;
+/// Part of the burst below which a workspace's permits are scarce. A larger
+/// part leaves less to a coordinator whose fleet has been divided without its
+/// knowledge, and costs more checks.
+constexpr double kScarceFraction = 0.5;
+/// Shortest time for which permits count as scarce. A burst that is small
+/// compared with the rate is refilled between two refusals.
+constexpr base::Duration kScarceTime = std::chrono::seconds(1);
 /// Longest gap between ticks of a process that runs. After a longer one, the
 /// other daemons may have replaced this one as coordinator.
 constexpr base::Duration kMaxTickGap = std::chrono::milliseconds(400);
@@ -106,10 +113,12 @@
   WorkspaceState &State = Workspaces[Workspace];
   if (!State.IsCoordinator || Clock.now() < State.GrantsFrom)
     return 0;
-  refill(State.CoordinatorBucket, coordinatorPart(withTolerance(Limit)));
+  refillCoordinated(State, Limit);
   const auto Granted = static_cast<std::uint32_t>(std::min(
       double(Requested), std::max(0.0, State.CoordinatorBucket.Tokens)));
   State.CoordinatorBucket.Tokens -= Granted;
+  if (Granted < Requested)
+    markScarce(State);
   return Granted;
 }
 
@@ -119,8 +128,7 @@
   WorkspaceState &State = Workspaces[Workspace];
   if (!State.IsCoordinator || Clock.now() < State.GrantsFrom)
     return;
-  const RateAndBurst Part = coordinatorPart(withTolerance(Limit));
-  refill(State.CoordinatorBucket, Part);
+  const RateAndBurst Part = refillCoordinated(State, Limit);
   State.CoordinatorBucket.Tokens =
       std::min(Part.Burst, State.CoordinatorBucket.Tokens + Count);
 }
@@ -135,14 +143,50 @@
   WorkspaceState &State = Workspaces[Workspace];
   if (!State.IsCoordinator || isFirstCoordinator(Clock.now() - Since))
     return;
-  const RateAndBurst Part = coordinatorPart(withTolerance(Limit));
-  refill(State.CoordinatorBucket, Part);
+  const RateAndBurst Part = refillCoordinated(State, Limit);
   const double Available =
       std::chrono::duration<double>(Since).count() * Part.Rate;
   State.CoordinatorBucket.Tokens =
       std::min(State.CoordinatorBucket.Tokens, Available);
 }
 
+RateAndBurst DividedLimits::refillCoordinated(WorkspaceState &State,
+                                              const RateAndBurst &Limit) const {
+  RateAndBurst Part = coordinatorPart(withTolerance(Limit));
+  Part.Rate *= State.CoordinatedShare;
+  refill(State.CoordinatorBucket, Part);
+  return Part;
+}
+
+void DividedLimits::setCoordinatedShare(const base::WorkspaceName &Workspace,
+                                        const RateAndBurst &Limit,
+                                        double Share) {
+  WorkspaceState &State = Workspaces[Workspace];
+  if (Share == State.CoordinatedShare)
+    return;
+  refillCoordinated(State, Limit);
+  State.CoordinatedShare = Share;
+}
+
+bool DividedLimits::isScarce(const base::WorkspaceName &Workspace,
+                             const RateAndBurst &Limit) {
+  WorkspaceState &State = Workspaces[Workspace];
+  if (!State.IsCoordinator || Limit.Rate <= 0)
+    return false;
+  const RateAndBurst Part = refillCoordinated(State, Limit);
+  if (State.CoordinatorBucket.Tokens < kScarceFraction * Part.Burst)
+    markScarce(State);
+  else if (State.CoordinatorBucket.Tokens >= Part.Burst &&
+           Clock.now() - State.ScarceAt >= kScarceTime)
+    State.Scarce = false;
+  return State.Scarce;
+}
+
+void DividedLimits::markScarce(WorkspaceState &State) const {
+  State.Scarce = true;
+  State.ScarceAt = Clock.now();
+}
+
 void DividedLimits::tick() {
   checkForPause();
   LastTick = Clock.now();
--- a/src/relay/fleetratelimiter.h
+++ b/src/relay/fleetratelimiter.h
@@ -4,6 +4,7 @@
 #include "config/fleetpolicy.h"
 #include "eventloop/eventloop.h"
 #include "membership/membertable.h"
+#include "ratelimit/coordinatorcontact.h"
 #include "ratelimit/coordinatortable.h"
 #include "ratelimit/dividedlimits.h"
 #include "relay/permitmessages.h"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +29,11 @@
 /// reachable members selects the coordinators. A daemon that does not reach a
 /// majority of the fleet uses no coordinator, since the majority has one.
 ///
+/// It takes daemons seconds to learn that they reach no majority. Until then a
+/// coordinator of either side of a network partition grants the permits of a
+/// scarce workspace in proportion to the share of the fleet that uses it; see
+/// `ratelimit::CoordinatorContact`.
+///
 /// Permits are exchanged in datagrams, so a daemon needs no connection to a
 /// coordinator. A permit that is lost on the way, or arrives late, is lost
 /// rate; a datagram that arrives twice counts once.
@@ -84,6 +91,13 @@
     std::optional<base::BootTime> LogAt;
     /// The workspaces of the current policy.
     std::vector<base::WorkspaceName> Workspaces;
+    /// As coordinator: the daemons that use it, and when a permit was last
+    /// requested.
+    ratelimit::CoordinatorContact Contact;
+    base::BootTime RequestedAt;
+    /// Whether the last logged share of the fleet was less than all of it.
+    bool LoggedDivided = false;
+    base::BootTime LoggedDividedAt;
   };
   /// Requests of one workspace that wait for permits.
   struct PendingRequest {
@@ -124,6 +138,13 @@
   void applyOwnRole(const Group &Target);
   void logChange(Group &Target);
 
+  /// As coordinator: updates the share of the fleet that uses this daemon, and
+  /// asks some of the other daemons if it needs to know.
+  void updateContact(Group &Target);
+  bool hasScarceWorkspace(const Group &Target);
+  void sendChecks(Group &Target);
+  void logShare(Group &Target, double Share);
+
   Group &groupOf(const base::WorkspaceName &Workspace);
   /// The limit coordinator of a group; null if there is none or no majority.
   const ratelimit::CoordinatorCandidate *
@@ -152,6 +173,9 @@
   void onMessage(const base::Endpoint &From, const PermitRequest &Request);
   void onMessage(const base::Endpoint &From, const PermitGrant &Grant);
   void onMessage(const base::Endpoint &From, const PermitReturn &Returned);
+  void onMessage(const base::Endpoint &From, const CoordinatorCheck &Check);
+  void onMessage(const base::Endpoint &From,
+                 const CoordinatorCheckReply &Reply);
   PermitMessageId nextId();
   void send(const base::Endpoint &To, const PermitMessage &Message);
 
@@ -165,6 +189,11 @@
   config::FleetPolicyPtr Policy;
   ratelimit::CoordinatorTable Coordinators;
   std::array<Group, ratelimit::kLimitGroups> Groups;
+  /// Addresses of the other daemons that are not known to have ended, whether
+  /// reachable or not.
+  std::map<base::InstanceId, base::Endpoint> Others;
+  base::BootTime ContactUpdatedAt;
+  std::mt19937_64 Random{std::random_device{}()};
   /// Number of announced daemons, whether reachable or not.
   std::size_t DaemonCount = 1;
   bool Majority = false;
--- a/src/relay/internal/fleetratelimiter.cpp
+++ b/src/relay/internal/fleetratelimiter.cpp
@@ -34,6 +34,17 @@
 /// has been full since then.
 constexpr base::Duration kMaxChangeAge = std::chrono::hours(1);
 
+/// How often a coordinator of a scarce workspace updates the share of the fleet
+/// that uses it, and how many daemons it asks each time.
+constexpr base::Duration kContactInterval = 100ms;
+constexpr unsigned kChecksPerInterval = 2;
+/// From this share on, a coordinator grants the whole limit: some daemons are
+/// always busy, stopping or just starting, and some datagrams get lost.
+constexpr double kWholeFleetShare = 0.9;
+/// A group whose permits were not requested for so long is not updated.
+constexpr base::Duration kActiveTime = 1s;
+constexpr base::Duration kShareLogInterval = 1s;
+
 /// A coordinator is logged once it has not changed for this long, since it
 /// changes with nearly every member that appears while a fleet starts.
 constexpr base::Duration kLogDelay = 500ms;
@@ -81,6 +92,73 @@
   for (Group &Each : Groups)
     if (Each.LogAt && Now >= *Each.LogAt)
       logChange(Each);
+  if (Now - ContactUpdatedAt < kContactInterval)
+    return;
+  ContactUpdatedAt = Now;
+  for (Group &Each : Groups)
+    if (Now - Each.RequestedAt < kActiveTime)
+      updateContact(Each);
+}
+
+void FleetRateLimiter::updateContact(Group &Target) {
+  const auto *Coordinator = coordinatorOf(Target);
+  if (Coordinator == nullptr || Coordinator->Process.Instance != Self.Instance)
+    return;
+  const base::BootTime Now = Loop.clock().now();
+  double Share = 1;
+  if (hasScarceWorkspace(Target)) {
+    const std::size_t Heard = Target.Contact.heardDaemons(Now);
+    if (double(Heard) < kWholeFleetShare * double(Others.size()))
+      sendChecks(Target);
+    Share = Target.Contact.share(Others.size(), Now);
+    if (Share >= kWholeFleetShare)
+      Share = 1;
+    logShare(Target, Share);
+  }
+  for (const base::WorkspaceName &Each : Target.Workspaces)
+    if (const config::WorkspacePolicy *Known = policyOf(Each))
+      Limits.setCoordinatedShare(Each, limitOf(*Known), Share);
+}
+
+bool FleetRateLimiter::hasScarceWorkspace(const Group &Target) {
+  bool Result = false;
+  for (const base::WorkspaceName &Each : Target.Workspaces)
+    if (const config::WorkspacePolicy *Known = policyOf(Each))
+      Result = Limits.isScarce(Each, limitOf(*Known)) || Result;
+  return Result;
+}
+
+/// Asks daemons at random that have not requested permits lately.
+void FleetRateLimiter::sendChecks(Group &Target) {
+  const base::BootTime Now = Loop.clock().now();
+  std::vector<base::Endpoint> Unheard;
+  for (const auto &[Instance, Peer] : Others)
+    if (!Target.Contact.hasHeardFrom(Peer, Now))
+      Unheard.push_back(Peer);
+  std::shuffle(Unheard.begin(), Unheard.end(), Random);
+  Unheard.resize(std::min<std::size_t>(Unheard.size(), kChecksPerInterval));
+  for (const base::Endpoint &Each : Unheard) {
+    const PermitMessageId Id = nextId();
+    Target.Contact.onCheckSent(Id.Number, Now);
+    Metrics.counter("coordinator_checks_total").add();
+    send(Each, CoordinatorCheck{Id, Target.Workspaces.front()});
+  }
+}
+
+void FleetRateLimiter::logShare(Group &Target, double Share) {
+  const base::BootTime Now = Loop.clock().now();
+  const bool Divided = Share < 1;
+  if (Divided == Target.LoggedDivided ||
+      Now - Target.LoggedDividedAt < kShareLogInterval)
+    return;
+  Target.LoggedDivided = Divided;
+  Target.LoggedDividedAt = Now;
+  for (const base::WorkspaceName &Each : Target.Workspaces)
+    Log.state("limit_keeper_share",
+              {{"workspace", Each.str()},
+               {"share", Share},
+               {"requesting", Target.Contact.heardDaemons(Now)},
+               {"others", Others.size()}});
 }
 
 void FleetRateLimiter::applyChanges(
@@ -88,6 +166,11 @@
     const std::vector<base::InstanceId> &Changed) {
   for (const base::InstanceId &Instance : Changed) {
     const membership::MemberEntry *Entry = Members.find(Instance);
+    if (Entry != nullptr && membership::isPresent(Entry->Record.State) &&
+        Instance != Self.Instance)
+      Others[Instance] = Entry->Record.Peer;
+    else
+      Others.erase(Instance);
     if (Entry != nullptr && Members.isUsable(Entry->Record.process()))
       Coordinators.add({Entry->Record.process(), Entry->Record.Peer});
     else
@@ -216,7 +299,9 @@
 void FleetRateLimiter::grantOwnPermits(const base::WorkspaceName &Workspace,
                                        PendingRequest &Pending) {
   // The buckets of this daemon know of the changes that it has seen itself.
-  Pending.ConfirmedChange = groupOf(Workspace).LastChange.Number;
+  Group &Target = groupOf(Workspace);
+  Target.RequestedAt = Loop.clock().now();
+  Pending.ConfirmedChange = Target.LastChange.Number;
   const config::WorkspacePolicy *Known = policyOf(Workspace);
   const std::uint32_t Granted =
       Known == nullptr
@@ -366,6 +451,9 @@
                                  const PermitRequest &Request) {
   if (!isNew(From, Request.Id))
     return;
+  Group &Target = groupOf(Request.Workspace);
+  Target.RequestedAt = Loop.clock().now();
+  Target.Contact.onRequest(From, Target.RequestedAt);
   PermitGrant Grant{Request.Id, 0};
   if (const config::WorkspacePolicy *Known = policyOf(Request.Workspace)) {
     if (Request.ReplacedAgoMicros > 0)
@@ -406,6 +494,21 @@
     Limits.returnPermits(Known->Name, limitOf(*Known), Returned.Count);
 }
 
+void FleetRateLimiter::onMessage(const base::Endpoint &From,
+                                 const CoordinatorCheck &Check) {
+  const auto *Coordinator = coordinatorOf(groupOf(Check.Workspace));
+  const bool Confirmed = Coordinator != nullptr && Coordinator->Peer == From &&
+                         Coordinator->Process.Incarnation == Check.Id.Process;
+  send(From, CoordinatorCheckReply{Check.Id, Check.Workspace, Confirmed});
+}
+
+void FleetRateLimiter::onMessage(const base::Endpoint &,
+                                 const CoordinatorCheckReply &Reply) {
+  if (Reply.Confirmed && Reply.Id.Process == Self.Incarnation)
+    groupOf(Reply.Workspace)
+        .Contact.onConfirmed(Reply.Id.Number, Loop.clock().now());
+}
+
 PermitMessageId FleetRateLimiter::nextId() {
   return {Self.Incarnation, ++LastNumber};
 }
--- a/src/relay/internal/permitmessages.cpp
+++ b/src/relay/internal/permitmessages.cpp
@@ -45,6 +45,10 @@
     return decodeAs<PermitGrant>(Body);
   case 2:
     return decodeAs<PermitReturn>(Body);
+  case 3:
+    return decodeAs<CoordinatorCheck>(Body);
+  case 4:
+    return decodeAs<CoordinatorCheckReply>(Body);
   default:
     return std::nullopt;
   }
--- a/src/relay/permitmessages.h
+++ b/src/relay/permitmessages.h
@@ -55,7 +55,29 @@
   }
 };
 
-using PermitMessage = std::variant<PermitRequest, PermitGrant, PermitReturn>;
+/// Asks a daemon whether it uses the sender as limit coordinator of a
+/// workspace.
+struct CoordinatorCheck {
+  PermitMessageId Id;
+  base::WorkspaceName Workspace;
+
+  template <class Archive> void serialize(Archive &Ar) { Ar(Id, Workspace); }
+};
+
+/// Reply to a `CoordinatorCheck`.
+struct CoordinatorCheckReply {
+  /// Id of the check.
+  PermitMessageId Id;
+  base::WorkspaceName Workspace;
+  bool Confirmed = false;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Id, Workspace, Confirmed);
+  }
+};
+
+using PermitMessage = std::variant<PermitRequest, PermitGrant, PermitReturn,
+                                   CoordinatorCheck, CoordinatorCheckReply>;
 
 /// Encodes a message as the body of a datagram. The first byte tells it from a
 /// gossip datagram.
--- a/src/relay/tests/fleetratelimitertest.cpp
+++ b/src/relay/tests/fleetratelimitertest.cpp
@@ -424,3 +424,134 @@
   REQUIRE(Grants.size() == 1);
   CHECK(Grants[0].Granted == Expected);
 }
+
+namespace {
+
+/// The coordinator of the workspace "w" in a fleet of five.
+struct OwnCoordinatorFixture {
+  OwnCoordinatorFixture() {
+    config::FleetPolicyContent Content;
+    Content.Version = config::PolicyVersion(1);
+    // Too small to be divided into shares, so each request needs a permit.
+    Content.Workspaces.push_back(workspace("w", 100, 20));
+    Policy = std::make_shared<config::FleetPolicy>(Content);
+    Limiter.setDaemonCount(5);
+    applyChanges(Limiter, Members);
+    Limiter.setPolicy(Policy);
+    Limiter.tick();
+  }
+
+  static membership::MemberTable makeMembers() {
+    membership::MemberTable Result;
+    for (std::uint16_t Number = 1; Number <= 5; ++Number) {
+      membership::Member Record;
+      Record.Instance = base::InstanceId("m-" + std::to_string(Number));
+      Record.Incarnation = kOwnIncarnation;
+      Record.Peer = {"127.0.0.1", Number};
+      Result.merge(Record, kClock.now());
+    }
+    return Result;
+  }
+
+  static ratelimit::CoordinatorCandidate
+  coordinatorOf(const membership::MemberTable &Members) {
+    ratelimit::CoordinatorTable Table;
+    for (const membership::MemberEntry &Each : Members.entries())
+      Table.add({Each.Record.process(), Each.Record.Peer});
+    return *Table.coordinatorOf(
+        ratelimit::CoordinatorTable::groupOf(base::WorkspaceName("w")));
+  }
+
+  std::vector<relay::CoordinatorCheck> checks() const {
+    return Peers.all<relay::CoordinatorCheck>();
+  }
+
+  /// Runs for two seconds with more requests than the limit allows, of this
+  /// daemon's callers. Returns how many are admitted in the second one. Checks
+  /// are confirmed if `Confirmed`.
+  int admittedUnderPressure(bool Confirmed) {
+    int Admitted = 0;
+    std::size_t Seen = 0;
+    const base::BootTime Start = kClock.now();
+    while (kClock.now() - Start < 2s) {
+      for (int Count = 0; Count < 5; ++Count)
+        Limiter.admit(Policy->content().Workspaces[0],
+                      [&](RateLimitResult Result) {
+                        if (Result == RateLimitResult::Admitted &&
+                            kClock.now() - Start > 1s)
+                          ++Admitted;
+                      });
+      Loop.startTimer(20ms, [this] { Loop.stop(); });
+      Loop.run();
+      Limiter.tick();
+      const auto Checks = checks();
+      for (; Confirmed && Seen < Checks.size(); ++Seen)
+        Limiter.onDatagram(
+            {"127.0.0.1", 1},
+            relay::encodePermitMessage(relay::CoordinatorCheckReply{
+                Checks[Seen].Id, Checks[Seen].Workspace, true}));
+    }
+    return Admitted;
+  }
+
+  eventloop::EventLoop Loop{kClock};
+  base::MetricsRegistry Metrics;
+  relay::StructuredLog Log{kClock, Metrics, "test"};
+  RecordingTransport Peers;
+  membership::MemberTable Members = makeMembers();
+  const ratelimit::CoordinatorCandidate Self = coordinatorOf(Members);
+  config::FleetPolicyPtr Policy;
+  relay::FleetRateLimiter Limiter{
+      Loop,         Metrics, Log,  Peers,
+      Self.Process, {},      true, [](const base::ProcessId &) {}};
+};
+
+} // namespace
+
+// Guards against a coordinator that is cut off with a few others and goes on
+// granting the whole limit while the rest of the fleet uses its successor.
+TEST_CASE_FIXTURE(OwnCoordinatorFixture,
+                  "a coordinator that nobody else uses grants its share") {
+  // A fifth of 100 a second, with some room for the tolerance and for samples.
+  CHECK(admittedUnderPressure(false) < 30);
+  CHECK(checks().size() > 10);
+}
+
+// Guards against refusals within the limit, if only the coordinator has callers
+// of the workspace.
+TEST_CASE_FIXTURE(OwnCoordinatorFixture,
+                  "a coordinator that all others confirm grants the limit") {
+  CHECK(admittedUnderPressure(true) > 75);
+}
+
+// Guards against checks while a workspace stays within its limit: their bytes
+// between regions cost more than the permits.
+TEST_CASE_FIXTURE(OwnCoordinatorFixture,
+                  "a coordinator asks nobody while permits are plentiful") {
+  for (int Count = 0; Count < 40; ++Count) {
+    if (Count % 4 == 0)
+      Limiter.admit(Policy->content().Workspaces[0], [](RateLimitResult) {});
+    Loop.startTimer(20ms, [this] { Loop.stop(); });
+    Loop.run();
+    Limiter.tick();
+  }
+  CHECK(checks().empty());
+}
+
+// Guards against a daemon that confirms another coordinator than the one that
+// it uses, or an earlier process of it.
+TEST_CASE_FIXTURE(OwnCoordinatorFixture,
+                  "a daemon confirms only the coordinator that it uses") {
+  const auto Confirmed = [&](const base::Endpoint &From,
+                             base::Incarnation Process) {
+    Peers.Sent.clear();
+    Limiter.onDatagram(From, relay::encodePermitMessage(relay::CoordinatorCheck{
+                                 {Process, 1}, base::WorkspaceName("w")}));
+    return Peers.all<relay::CoordinatorCheckReply>().at(0).Confirmed;
+  };
+  CHECK(Confirmed(Self.Peer, kOwnIncarnation));
+  CHECK_FALSE(Confirmed(Self.Peer, base::Incarnation(1)));
+  CHECK_FALSE(Confirmed({"127.0.0.1", 99}, kOwnIncarnation));
+  Limiter.setDaemonCount(12);
+  CHECK_FALSE(Confirmed(Self.Peer, kOwnIncarnation));
+}
