Drop the scheduled read of a follower that starts over

A change of the poll timing while a follower waits to start over would have started a read from the stream's beginning, and the follower would have ignored reported offsets afterwards. Found by reading; the window is the spread of the restart. Test: "a follower that waits to start over reads nothing if its timing changes".

--- a/src/platformlog/internal/streamfollower.cpp
+++ b/src/platformlog/internal/streamfollower.cpp
@@ -65,6 +65,7 @@
 void StreamFollower::dropPosition() {
   ++Restarts;
   ++LatestRead;
+  ScheduledAfter = 0;
   NewestReads = 0;
   Synced = false;
   Position = {};
--- a/src/platformlog/tests/streamfollowertest.cpp
+++ b/src/platformlog/tests/streamfollowertest.cpp
@@ -301,3 +301,22 @@
   runFor(300ms);
   CHECK(Store.Calls <= 16);
 }
+
+// Guards against a whole fleet that reads at once after the store came back,
+// and against a follower that has read without the newest records and then
+// ignores reported offsets.
+TEST_CASE_FIXTURE(Fixture, "a follower that waits to start over reads nothing "
+                           "if its timing changes") {
+  Store.addRecord("a");
+  platformlog::StreamFollower Follower({"keyed.s", {0ms, 10s}, 1h}, Loop, Store,
+                                       *this);
+  Follower.start();
+  runFor(20ms);
+  Follower.restart();
+  const int CallsBefore = Store.Calls;
+  Follower.setPollTiming({100ms, 0s});
+  Follower.readNow();
+  Follower.catchUpTo(base::LogOffset(5));
+  runFor(50ms);
+  CHECK(Store.Calls == CallsBefore);
+}
